--- /dev/null
+++ b/packages/test-kit/src/index.ts
@@ -0,0 +1,2 @@
+export * from './clock.js';
+export * from './snapshot.js';
--- /dev/null
+++ b/packages/test-kit/src/snapshot.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import { basename, dirname, join } from 'node:path';
+import { SnapshotState } from 'jest-snapshot';
+
+const states = new Map<string, SnapshotState>();
+
+const stateFor = (testFile: string): SnapshotState => {
+  const known = states.get(testFile);
+  if (known) return known;
+  const state = new SnapshotState(
+    join(dirname(testFile), '__snapshots__', `${basename(testFile)}.snap`),
+    {
+      updateSnapshot: process.env.UPDATE_SNAPSHOTS ? 'all' : 'none',
+      expand: false,
+      snapshotFormat: { escapeString: false, printBasicPrototype: false },
+      rootDir: dirname(testFile),
+      prettierPath: null,
+    },
+  );
+  states.set(testFile, state);
+  return state;
+};
+
+/**
+ * Compares a value with the checked-in snapshot of a test file; `UPDATE_SNAPSHOTS=1` writes it.
+ *
+ * @example
+ * matchSnapshot(import.meta.filename, 'merged folder', describeConfiguration(configuration));
+ */
+export const matchSnapshot = (testFile: string, name: string, received: unknown): void => {
+  const state = stateFor(testFile);
+  const result = state.match({ testName: name, received, isInline: false });
+  if (process.env.UPDATE_SNAPSHOTS) state.save();
+  assert.ok(
+    result.pass,
+    `Snapshot "${name}" differs.\nExpected: ${result.expected ?? '(none checked in)'}\nReceived: ${result.actual}`,
+  );
+};
--- /dev/null
+++ b/packages/test-kit/src/test-kit.test.ts
@@ -0,0 +1,20 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { monotonicNowMs } from '@sequoiafield/tables';
+import { matchSnapshot, pauseClock } from './index.js';
+
+test('the paused clock moves timers and the monotonic clock together', async () => {
+  // Guards against durations that are read from a clock the tests cannot advance.
+  const clock = pauseClock();
+  const firedAtMs: number[] = [];
+  setInterval(() => firedAtMs.push(monotonicNowMs()), 100);
+  await clock.advance(300);
+  clock.resume();
+  matchSnapshot(import.meta.filename, 'interval of 100 ms', firedAtMs);
+});
+
+test('a snapshot that differs fails', () => {
+  // Guards against a snapshot helper that accepts everything.
+  if (process.env.UPDATE_SNAPSHOTS) return;
+  assert.throws(() => matchSnapshot(import.meta.filename, 'interval of 100 ms', [1]));
+});
--- /dev/null
+++ b/packages/types/src/calls.ts
@@ -0,0 +1,93 @@
+import type { LinkRequestKind, Priority, RefusalOutcome, RefusalReason } from './enums.js';
+import type { MemberAnnouncement } from './members.js';
+
+/** Identifies one try of a call on one incarnation of one receiving node. */
+export interface AttemptId {
+  readonly senderId: string;
+  readonly senderIncarnation: number;
+  /** Counter of the sender, never used twice within an incarnation. */
+  readonly sequence: number;
+  readonly receiverIncarnation: number;
+}
+
+/** Head of a call on a link. */
+export interface CallOpen {
+  readonly requestId: string;
+  readonly attempt: AttemptId;
+  readonly service: string;
+  readonly route: string;
+  /** Backend version that the sender chose. */
+  readonly backendVersion: string;
+  /** Configuration version that the sender chose under. */
+  readonly configVersion: number;
+  readonly priority: Priority;
+  readonly isIdempotent: boolean;
+  /** Deadline on the sender's monotonic clock; the link converts it to the receiver's. */
+  readonly deadlineAtMs: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly (readonly [string, string])[];
+}
+
+/** Load that a receiving node reports with each answer or refusal. */
+export interface LoadReport {
+  readonly runningCalls: number;
+  readonly queuedCalls: number;
+  /** Calls that it now runs at a time; below the service's slots while its server is cold. */
+  readonly slotsNow: number;
+}
+
+/** Complete answer of a call: status, headers and a body stream. */
+export interface CallAnswer {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: AsyncIterable<Uint8Array>;
+  readonly load: LoadReport;
+}
+
+/** Refusal of a call, with what is known about whether it ran. */
+export interface CallRefusal {
+  readonly outcome: RefusalOutcome;
+  readonly reason: RefusalReason;
+  readonly detail: string;
+  readonly load?: LoadReport;
+}
+
+/** Result of one attempt. */
+export type CallResult =
+  | { readonly kind: 'answer'; readonly answer: CallAnswer }
+  | { readonly kind: 'refusal'; readonly refusal: CallRefusal };
+
+/** Receiving side of a link: runs a call that arrived. */
+export interface CallReceiver {
+  receive(
+    open: CallOpen,
+    body: AsyncIterable<Uint8Array>,
+    signal: AbortSignal,
+  ): Promise<CallResult>;
+}
+
+/** Sending side of the links: one attempt on one member. */
+export interface CallSender {
+  send(
+    member: MemberAnnouncement,
+    open: CallOpen,
+    body: AsyncIterable<Uint8Array> | Uint8Array | undefined,
+    signal: AbortSignal,
+  ): Promise<CallResult>;
+}
+
+/** Request and answer over a link, for bulk exchange between nodes. */
+export interface LinkRequester {
+  request(
+    member: MemberAnnouncement,
+    kind: LinkRequestKind,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<unknown>;
+  /** Registers the one handler of a kind; what it returns is the answer. */
+  handle(
+    kind: LinkRequestKind,
+    handler: (body: unknown, fromId: string) => unknown | Promise<unknown>,
+  ): void;
+}
--- /dev/null
+++ b/packages/types/src/configuration.ts
@@ -0,0 +1,107 @@
+import type { DataCentreState, Priority } from './enums.js';
+
+/** What operators want of one service. */
+export interface ServiceIntent {
+  readonly name: string;
+  readonly priority: Priority;
+  readonly stableVersion: string;
+  /** Calls that one backend server runs at a time. */
+  readonly slots: number;
+  readonly connectionsMax: number;
+  readonly failureLimitPercent: number;
+  readonly latencyLimitMs: number;
+}
+
+/** One route: the calls it matches and how they may be handled. */
+export interface RouteIntent {
+  readonly name: string;
+  readonly service: string;
+  /** Upper-case HTTP method. */
+  readonly method: string;
+  /** Path such as `/tabs/*`; `*` at the end matches any rest, `:name` matches one segment. */
+  readonly path: string;
+  readonly isIdempotent: boolean;
+  readonly deadlineMs: number;
+  readonly retryBudgetPercent: number;
+}
+
+/** What operators want of one data centre. */
+export interface DataCentreIntent {
+  readonly name: string;
+  readonly region: string;
+  readonly state: DataCentreState;
+  /** Time that a returning data centre takes to its full share. */
+  readonly rampS: number;
+  /** When `state` last changed; stamped when the configuration is accepted. */
+  readonly changedAtUnixMs: number;
+}
+
+/** Moves the traffic of a service from one backend version to another. */
+export interface MoveIntent {
+  readonly id: string;
+  readonly service: string;
+  readonly fromVersion: string;
+  readonly toVersion: string;
+  readonly startAtUnixMs: number;
+  readonly finishByUnixMs: number;
+  readonly unprovenCapPercent: number;
+}
+
+/** Service-level objective of a service. */
+export interface ObjectiveIntent {
+  readonly service: string;
+  readonly targetPercent: number;
+  readonly latencyMs: number;
+  readonly windowDays: number;
+}
+
+/** Entry of the route index that every node holds. */
+export interface RouteIndexEntry {
+  readonly name: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+}
+
+/** Section `mesh`: data centres and the route index. */
+export interface MeshSection {
+  readonly dataCentres: readonly DataCentreIntent[];
+  readonly routeIndex: readonly RouteIndexEntry[];
+}
+
+/** Section of one service: the service with its routes, moves and objective. */
+export interface ServiceSection {
+  readonly service: ServiceIntent;
+  readonly routes: readonly RouteIntent[];
+  readonly moves: readonly MoveIntent[];
+  readonly objective?: ObjectiveIntent;
+}
+
+/** A whole checked configuration, before it is accepted. */
+export interface Configuration {
+  readonly mesh: MeshSection;
+  readonly services: ReadonlyMap<string, ServiceSection>;
+}
+
+/** Maps each section name (`mesh` or a service) to the SHA-256 digest (hex) of its body. */
+export interface Manifest {
+  readonly configVersion: number;
+  readonly sections: Readonly<Record<string, string>>;
+}
+
+/** The one record that says which configuration is accepted. */
+export interface HeadRecord {
+  readonly configVersion: number;
+  readonly manifestDigest: string;
+  readonly operationId: string;
+  readonly acceptedAtUnixMs: number;
+  readonly author: string;
+}
+
+/** The configuration in force on one node: immutable and swapped in as a whole. */
+export interface Snapshot {
+  readonly configVersion: number;
+  readonly manifestDigest: string;
+  readonly mesh: MeshSection;
+  readonly services: ReadonlyMap<string, ServiceSection>;
+}
--- /dev/null
+++ b/packages/types/src/decisions.ts
@@ -0,0 +1,101 @@
+import type { CallOpen, CallRefusal, LoadReport } from './calls.js';
+import type { RouteIntent, ServiceIntent, Snapshot } from './configuration.js';
+import type { MoveVerdict, RefusalReason } from './enums.js';
+import type { MemberRow } from './members.js';
+
+/** Read access to the configuration in force. */
+export interface SnapshotView {
+  /** The snapshot in force, or undefined before the first one. */
+  current(): Snapshot | undefined;
+  /** True once the join floor is known and reached, and the view is not stale. */
+  isServing(): boolean;
+  /** Asks for the section of a service that this node does not hold yet. */
+  want(service: string): void;
+}
+
+/** State of a move as every node sees it. */
+export interface MoveStatus {
+  readonly moveId: string;
+  readonly verdict: MoveVerdict;
+  readonly reason: string;
+  /** Share of the new version now, 0 to 100. */
+  readonly sharePercent: number;
+  readonly provenStage: number;
+}
+
+/** Read access to the moves, for callers and receiving nodes. */
+export interface RolloutView {
+  /** Backend version of one new call; `roll` is uniform in [0, 1). */
+  chooseVersion(service: string, roll: number): string | undefined;
+  /** Whether a version may get new work at all now. */
+  isAllowed(service: string, backendVersion: string): boolean;
+  statuses(): readonly MoveStatus[];
+}
+
+/** Outcome of one call that ended on the backend server beside this node. */
+export interface CallEvidence {
+  readonly service: string;
+  readonly route: string;
+  readonly backendVersion: string;
+  readonly hasFailed: boolean;
+  readonly latencyMs: number;
+}
+
+/** Counts outcomes of calls for the verdicts on moves. */
+export interface EvidenceRecorder {
+  /** Called by the receiving node when a call ended on its own backend server. */
+  recordEnded(evidence: CallEvidence): void;
+  /** Called by the calling node when an attempt got no answer in time. */
+  recordUnanswered(service: string, route: string, backendVersion: string): void;
+}
+
+/** Result of matching a call with the configuration in force. */
+export interface RouteMatch {
+  readonly route: RouteIntent;
+  readonly service: ServiceIntent;
+}
+
+/** What the caller's side learns from one attempt. */
+export interface AttemptReport {
+  readonly memberId: string;
+  readonly service: string;
+  readonly hasFailed: boolean;
+  readonly latencyMs: number;
+  readonly refusalReason?: RefusalReason;
+  readonly load?: LoadReport;
+}
+
+/** Matches routes and chooses the backend server of each attempt. */
+export interface Router {
+  match(method: string, path: string): RouteMatch | undefined;
+  /** Chooses a member, or undefined if none is left; `triedIds` are skipped if others exist. */
+  choose(
+    service: string,
+    backendVersion: string,
+    triedIds: ReadonlySet<string>,
+  ): MemberRow | undefined;
+  /** Marks an attempt as started on a member, so that its load counts at once. */
+  begin(memberId: string): void;
+  report(report: AttemptReport): void;
+  /** Counts a first attempt towards the service's retry budget. */
+  recordFirstAttempt(service: string): void;
+  /** Takes one retry from the service's budget; false if the budget is spent. */
+  takeRetry(service: string, budgetPercent: number): boolean;
+}
+
+/** Permission to run one call on the backend server; `release` must be called once it ended. */
+export interface Permit {
+  release(result: { readonly hasFailed: boolean; readonly latencyMs: number }): void;
+}
+
+/** Result of asking for admission. */
+export type AdmissionResult =
+  | { readonly kind: 'permit'; readonly permit: Permit }
+  | { readonly kind: 'refusal'; readonly refusal: CallRefusal };
+
+/** Admission of calls beside one backend server. */
+export interface Admission {
+  /** `deadlineAtMs` is on this node's monotonic clock. */
+  admit(open: CallOpen, deadlineAtMs: number, signal: AbortSignal): Promise<AdmissionResult>;
+  load(): LoadReport;
+}
--- /dev/null
+++ b/packages/types/src/enums.ts
@@ -0,0 +1,89 @@
+/** State of a member as this node believes it; a higher rank wins within one incarnation. */
+export enum MemberState {
+  Joining = 0,
+  Alive = 1,
+  Suspect = 2,
+  Draining = 3,
+  Left = 4,
+  Dead = 5,
+}
+
+/** Whether operators let a data centre take new work. */
+export enum DataCentreState {
+  In = 'in',
+  Out = 'out',
+}
+
+/** Order in which calls are kept under overload; a lower number is more important. */
+export enum Priority {
+  Critical = 0,
+  High = 1,
+  Normal = 2,
+  Low = 3,
+}
+
+/** What a refusal says about the request; `NotRun` is said only where it is known. */
+export enum RefusalOutcome {
+  NotRun = 'not-run',
+  Unknown = 'unknown',
+}
+
+/** Why a call was refused. */
+export enum RefusalReason {
+  NoRoute = 'no-route',
+  NoBackendServer = 'no-backend-server',
+  NotReady = 'not-ready',
+  StaleView = 'stale-view',
+  Draining = 'draining',
+  DataCentreOut = 'data-centre-out',
+  QueueFull = 'queue-full',
+  DeadlineHopeless = 'deadline-hopeless',
+  DeadlinePassed = 'deadline-passed',
+  DuplicateAttempt = 'duplicate-attempt',
+  WrongIncarnation = 'wrong-incarnation',
+  VersionTakenBack = 'version-taken-back',
+  VersionOverShare = 'version-over-share',
+  WrongVersion = 'wrong-version',
+  RetryBudgetSpent = 'retry-budget-spent',
+  BodyTooLarge = 'body-too-large',
+  ConnectFailed = 'connect-failed',
+  LinkLost = 'link-lost',
+  Cancelled = 'cancelled',
+  BackendServerFailed = 'backend-server-failed',
+}
+
+/** Verdict on a move; `TakenBack` is final and spreads without the store. */
+export enum MoveVerdict {
+  Undecided = 'undecided',
+  Done = 'done',
+  TakenBack = 'taken back',
+}
+
+/** Kinds of monotone registers that gossip spreads; the entry with the highest rank wins. */
+export enum RegisterKind {
+  Head = 1,
+  Stage = 2,
+  Verdict = 3,
+}
+
+/** Kinds of datagrams and link requests that packages exchange with one member. */
+export enum DirectMessageKind {
+  Evidence = 1,
+  CallerEvidence = 2,
+}
+
+/** Kinds of request and answer exchanges over a link, apart from calls. */
+export enum LinkRequestKind {
+  ManifestDelta = 1,
+  Sections = 2,
+  MemberDigests = 3,
+  MemberRows = 4,
+  FleetQuery = 5,
+}
+
+/** Kinds of fleet queries: questions that every node answers and that are merged on the way. */
+export enum FleetQueryKind {
+  InForce = 1,
+  Moves = 2,
+  BurnWindows = 3,
+}
