Add the fault proxy stand-in

Cause: the integration tests need cuts, one-way cuts, silent connections, delays, and duplicated and reordered datagrams between real processes. Change: TCP and UDP paths with a fault that can be set over HTTP. Measured: 3 tests show silent, frozen, cut, duplicated and reordered paths.

--- /dev/null
+++ b/packages/stand-ins/src/fault-proxy/command.ts
@@ -0,0 +1,71 @@
+import fastify from 'fastify';
+import type { CommandModule } from 'yargs';
+import { FaultDirection, FaultMode, noFault, type Fault, type FaultPath } from './fault.js';
+import { TcpFaultPath } from './tcp-fault-path.js';
+import { UdpFaultPath } from './udp-fault-path.js';
+
+interface FaultProxyArguments {
+  controlPort: number;
+  path: string[];
+  seed: number;
+}
+
+interface FaultRequest extends Partial<Fault> {
+  /** Names of the paths, or `*` for all. */
+  readonly paths: readonly string[];
+}
+
+/** Reads `name=tcp:listenPort:targetPort` or `name=udp:...`; both ends are on loopback. */
+const parsePath = (text: string, seed: number): FaultPath => {
+  const match = /^([^=]+)=(tcp|udp):(\d+):(\d+)$/.exec(text);
+  if (!match) {
+    throw new Error(`Path "${text}" must be NAME=tcp|udp:LISTEN_PORT:TARGET_PORT`);
+  }
+  const [, name = '', kind, listenPort, targetPort] = match;
+  return kind === 'tcp'
+    ? new TcpFaultPath(name, Number(listenPort), '127.0.0.1', Number(targetPort))
+    : new UdpFaultPath(name, Number(listenPort), '127.0.0.1', Number(targetPort), seed);
+};
+
+const run = async (options: FaultProxyArguments): Promise<void> => {
+  const paths = new Map<string, FaultPath>();
+  for (const text of options.path) {
+    const path = parsePath(text, options.seed);
+    await path.start();
+    paths.set(path.name, path);
+  }
+  const control = fastify();
+  control.get('/paths', () =>
+    [...paths.values()].map(({ name, listenPort }) => ({ name, listenPort })),
+  );
+  control.put<{ Body: FaultRequest }>('/faults', async (request, reply) => {
+    const { paths: names, ...fault } = request.body;
+    const chosen = names.includes('*') ? [...paths.keys()] : names;
+    const unknown = chosen.filter((name) => !paths.has(name));
+    const isModeKnown = Object.values(FaultMode).includes(fault.mode ?? FaultMode.Pass);
+    const isDirectionKnown = Object.values(FaultDirection).includes(
+      fault.direction ?? FaultDirection.Both,
+    );
+    if (unknown.length > 0 || !isModeKnown || !isDirectionKnown) {
+      return reply.code(400).send({ error: 'unknown path, mode or direction', unknown });
+    }
+    chosen.forEach((name) => paths.get(name)?.setFault({ ...noFault, ...fault }));
+    return { changed: chosen };
+  });
+  await control.listen({ host: '127.0.0.1', port: options.controlPort });
+  const { port: controlPort } = control.addresses()[0] ?? {};
+  console.log(JSON.stringify({ ready: true, controlPort }));
+  process.once('SIGTERM', () => process.exit(0));
+};
+
+/** Command `fault-proxy`: TCP and UDP paths whose faults are set over HTTP. */
+export const faultProxyCommand: CommandModule<object, FaultProxyArguments> = {
+  command: 'fault-proxy',
+  describe: 'Injects faults between processes',
+  builder: (parser) =>
+    parser
+      .option('control-port', { type: 'number', default: 0 })
+      .option('path', { type: 'string', array: true, default: [] as string[] })
+      .option('seed', { type: 'number', default: 1 }) as never,
+  handler: run,
+};
--- /dev/null
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { createSocket } from 'node:dgram';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { after, test } from 'node:test';
+import { FaultDirection, FaultMode, noFault } from './fault.js';
+import { TcpFaultPath } from './tcp-fault-path.js';
+import { UdpFaultPath } from './udp-fault-path.js';
+
+const closers: (() => unknown)[] = [];
+after(() => closers.forEach((close) => close()));
+
+const listen = async (): Promise<number> => {
+  const server = createServer((socket) => socket.on('error', () => undefined).pipe(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  closers.push(() => server.close());
+  return (server.address() as AddressInfo).port;
+};
+
+const open = async (port: number): Promise<Socket> => {
+  const socket = connect(port, '127.0.0.1');
+  closers.push(() => socket.destroy());
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  return socket;
+};
+
+const echo = (socket: Socket, text: string, waitMs = 2000): Promise<string> =>
+  new Promise((resolve) => {
+    const timer = setTimeout(() => resolve('nothing'), waitMs);
+    socket.once('data', (chunk: Buffer) => {
+      clearTimeout(timer);
+      resolve(chunk.toString());
+    });
+    socket.once('close', () => resolve('closed'));
+    socket.write(text);
+  });
+
+test('a silent connection stays silent while a new one works', async () => {
+  // Guards against a proxy that cannot show the failure that the links must detect.
+  const path = new TcpFaultPath('link', 0, '127.0.0.1', await listen());
+  await path.start();
+  closers.push(() => path.stop());
+  const first = await open(path.listenPort);
+  assert.equal(await echo(first, 'a'), 'a');
+  path.setFault({ ...noFault, mode: FaultMode.Silent });
+  assert.equal(await echo(first, 'b', 100), 'nothing');
+  const second = await open(path.listenPort);
+  assert.equal(await echo(second, 'c'), 'c');
+  path.setFault(noFault);
+  assert.equal(await echo(first, 'd', 100), 'nothing');
+});
+
+test('freeze holds bytes and delivers them late, cut closes', async () => {
+  // Guards against lost bytes on a thaw, which would look like a different fault.
+  const path = new TcpFaultPath('link', 0, '127.0.0.1', await listen());
+  await path.start();
+  closers.push(() => path.stop());
+  const socket = await open(path.listenPort);
+  path.setFault({ ...noFault, mode: FaultMode.Freeze, direction: FaultDirection.ToClient });
+  const held = echo(socket, 'late');
+  path.setFault(noFault);
+  assert.equal(await held, 'late');
+  path.setFault({ ...noFault, mode: FaultMode.Cut });
+  assert.equal(await echo(socket, 'x'), 'closed');
+});
+
+test('datagrams are duplicated and reordered', async () => {
+  // Guards against a UDP path that changes nothing under these modes.
+  const server = createSocket('udp4');
+  const received: string[] = [];
+  server.on('message', (message) => received.push(message.toString()));
+  await new Promise<void>((resolve) => {
+    server.bind(0, '127.0.0.1', resolve);
+  });
+  closers.push(() => server.close());
+  const path = new UdpFaultPath('gossip', 0, '127.0.0.1', server.address().port, 1);
+  await path.start();
+  closers.push(() => path.stop());
+  const client = createSocket('udp4');
+  closers.push(() => client.close());
+  const send = async (text: string, count: number): Promise<void> => {
+    client.send(text, path.listenPort, '127.0.0.1');
+    for (let waited = 0; received.length < count && waited < 200; waited += 1) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 10);
+      });
+    }
+  };
+  path.setFault({ ...noFault, mode: FaultMode.Duplicate });
+  await send('a', 2);
+  path.setFault({ ...noFault, mode: FaultMode.Reorder });
+  client.send('b', path.listenPort, '127.0.0.1');
+  await send('c', 4);
+  assert.deepEqual(received, ['a', 'a', 'c', 'b']);
+});
--- /dev/null
+++ b/packages/stand-ins/src/fault-proxy/fault.ts
@@ -0,0 +1,59 @@
+/** What a proxied path does with traffic. */
+export enum FaultMode {
+  /** Forwards everything. */
+  Pass = 'pass',
+  /** Closes connections, refuses new ones and drops datagrams. */
+  Cut = 'cut',
+  /** Holds bytes of the connections that are open now, for good; new connections work. */
+  Silent = 'silent',
+  /** Holds all bytes until the mode changes, then forwards them late. */
+  Freeze = 'freeze',
+  /** Drops datagrams at random. */
+  Drop = 'drop',
+  /** Sends datagrams twice. */
+  Duplicate = 'duplicate',
+  /** Holds each second datagram until the next one has passed. */
+  Reorder = 'reorder',
+}
+
+/** Direction that a fault applies to. */
+export enum FaultDirection {
+  Both = 'both',
+  ToServer = 'to-server',
+  ToClient = 'to-client',
+}
+
+/** Fault of one proxied path. */
+export interface Fault {
+  readonly mode: FaultMode;
+  readonly direction: FaultDirection;
+  /** Added to every chunk or datagram in each affected direction. */
+  readonly delayMs: number;
+  /** Share of datagrams that `Drop` drops, 0 to 1. */
+  readonly dropShare: number;
+}
+
+export const noFault: Fault = {
+  mode: FaultMode.Pass,
+  direction: FaultDirection.Both,
+  delayMs: 0,
+  dropShare: 1,
+};
+
+/**
+ * Says whether a fault affects a direction.
+ *
+ * @example
+ * isAffected({ ...noFault, direction: FaultDirection.Both }, FaultDirection.ToServer); // true
+ */
+export const isAffected = (fault: Fault, direction: FaultDirection): boolean =>
+  fault.direction === FaultDirection.Both || fault.direction === direction;
+
+/** A proxied path whose fault can be changed while it runs. */
+export interface FaultPath {
+  readonly name: string;
+  readonly listenPort: number;
+  start(): Promise<void>;
+  setFault(fault: Fault): void;
+  stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/stand-ins/src/fault-proxy/udp-fault-path.ts
@@ -0,0 +1,114 @@
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { SeededRandom, type RandomSource } from '@sequoiafield/tables';
+import {
+  FaultDirection,
+  FaultMode,
+  isAffected,
+  noFault,
+  type Fault,
+  type FaultPath,
+} from './fault.js';
+
+type Deliver = () => void;
+
+/** UDP path to one server; each client has its own socket towards it, so that replies return. */
+export class UdpFaultPath implements FaultPath {
+  readonly #server: Socket = createSocket('udp4');
+
+  readonly #clients = new Map<string, Socket>();
+
+  readonly #random: RandomSource;
+
+  #fault: Fault = noFault;
+
+  #held: Deliver[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly wantedPort: number,
+    private readonly targetAddress: string,
+    private readonly targetPort: number,
+    seed: number,
+  ) {
+    this.#random = new SeededRandom(seed);
+  }
+
+  get listenPort(): number {
+    return this.#server.address().port;
+  }
+
+  start(): Promise<void> {
+    this.#server.on('message', (message, client) => {
+      const towardsServer = this.#clientSocket(client);
+      this.#pass(FaultDirection.ToServer, () => {
+        towardsServer.send(message, this.targetPort, this.targetAddress);
+      });
+    });
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.bind(this.wantedPort, '127.0.0.1', resolve);
+    });
+  }
+
+  setFault(fault: Fault): void {
+    this.#fault = fault;
+    const held = this.#held;
+    this.#held = [];
+    held.forEach((deliver) => deliver());
+  }
+
+  stop(): Promise<void> {
+    this.#clients.forEach((socket) => socket.close());
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+
+  #clientSocket(client: RemoteInfo): Socket {
+    const key = `${client.address}:${client.port}`;
+    const known = this.#clients.get(key);
+    if (known) return known;
+    const socket = createSocket('udp4');
+    socket.on('message', (message) => {
+      this.#pass(FaultDirection.ToClient, () => {
+        this.#server.send(message, client.port, client.address);
+      });
+    });
+    socket.on('error', () => undefined);
+    this.#clients.set(key, socket);
+    return socket;
+  }
+
+  #pass(direction: FaultDirection, deliver: Deliver): void {
+    const fault = this.#fault;
+    if (!isAffected(fault, direction)) {
+      deliver();
+      return;
+    }
+    switch (fault.mode) {
+      case FaultMode.Cut:
+      case FaultMode.Silent:
+        return;
+      case FaultMode.Drop:
+        if (this.#random.next() < fault.dropShare) return;
+        break;
+      case FaultMode.Freeze:
+        this.#held.push(deliver);
+        return;
+      case FaultMode.Reorder:
+        if (this.#held.length === 0) {
+          this.#held.push(deliver);
+          return;
+        }
+        deliver();
+        this.#held.shift()?.();
+        return;
+      case FaultMode.Duplicate:
+        deliver();
+        break;
+      default:
+    }
+    if (fault.delayMs > 0) setTimeout(deliver, fault.delayMs);
+    else deliver();
+  }
+}
