Read the control port of the fault proxy from its socket

Cause: the type check failed, since fastify's address list has no port on pipes. Change: the port is read from the listening socket. Measured: type check and linter pass; 3 tests pass.

--- a/packages/stand-ins/src/fault-proxy/command.ts
+++ b/packages/stand-ins/src/fault-proxy/command.ts
@@ -1,3 +1,4 @@
+import type { AddressInfo } from 'node:net';
 import fastify from 'fastify';
 import type { CommandModule } from 'yargs';
 import { FaultDirection, FaultMode, noFault, type Fault, type FaultPath } from './fault.js';
@@ -53,7 +54,7 @@
     return { changed: chosen };
   });
   await control.listen({ host: '127.0.0.1', port: options.controlPort });
-  const { port: controlPort } = control.addresses()[0] ?? {};
+  const { port: controlPort } = control.server.address() as AddressInfo;
   console.log(JSON.stringify({ ready: true, controlPort }));
   process.once('SIGTERM', () => process.exit(0));
 };
