--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,6 +29,8 @@
       'n/no-process-exit': 'off',
       'n/no-sync': 'off',
       'n/hashbang': 'off',
+      // The rule does not recognise the classes that modern-errors creates as errors.
+      '@typescript-eslint/only-throw-error': 'off',
       'no-console': 'off',
       'n/no-unsupported-features/node-builtins': 'off',
       'import-x/no-rename-default': 'off',
--- /dev/null
+++ b/packages/node/src/local-backend-server.ts
@@ -0,0 +1,41 @@
+import { NodeError } from '@sequoiafield/errors';
+
+/** Where the backend server beside this node listens and what it runs. */
+export interface BackendServerAnnouncement {
+  readonly service: string;
+  readonly version: string;
+  readonly address: string;
+  readonly port: number;
+}
+
+const readText = (body: Record<string, unknown>, key: string): string => {
+  const value = body[key];
+  if (typeof value !== 'string' || value === '') {
+    throw new NodeError(`Announcement needs "${key}" as a non-empty text`);
+  }
+  return value;
+};
+
+/**
+ * Checks the body of an announcement.
+ *
+ * @throws NodeError that names the key that is missing or wrong.
+ * @example
+ * readAnnouncement({ service: 'lager', version: 'v1', address: '127.0.0.1', port: 8080 });
+ */
+export const readAnnouncement = (body: unknown): BackendServerAnnouncement => {
+  if (typeof body !== 'object' || body === null) {
+    throw new NodeError('Announcement must be a JSON object');
+  }
+  const record = body as Record<string, unknown>;
+  const port = Number(record.port);
+  if (!Number.isInteger(port) || port < 1 || port > 65_535) {
+    throw new NodeError('Announcement needs "port" as a number from 1 to 65535');
+  }
+  return {
+    service: readText(record, 'service'),
+    version: readText(record, 'version'),
+    address: readText(record, 'address'),
+    port,
+  };
+};
--- /dev/null
+++ b/packages/stand-ins/src/harness/free-ports.ts
@@ -0,0 +1,37 @@
+import { createSocket } from 'node:dgram';
+import { createServer } from 'node:net';
+
+// Below the range from which Linux takes ports of outgoing connections (32768 and up), so that no
+// connection of another process takes a port between the check and its use.
+const firstPort = 12_000;
+const lastPort = 31_000;
+
+let nextPort = firstPort + ((process.pid * 97) % (lastPort - firstPort));
+
+const canListenTcp = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+
+const canBindUdp = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => resolve(false));
+    socket.bind(port, '127.0.0.1', () => socket.close(() => resolve(true)));
+  });
+
+/**
+ * Takes a port of loopback that is free for TCP and UDP and is not given out again by this process.
+ *
+ * @example
+ * const port = await takeFreePort();
+ */
+export const takeFreePort = async (): Promise<number> => {
+  for (;;) {
+    const port = nextPort;
+    nextPort = port + 1 > lastPort ? firstPort : port + 1;
+    if ((await canListenTcp(port)) && (await canBindUdp(port))) return port;
+  }
+};
