--- /dev/null
+++ b/packages/config/src/check-references.ts
@@ -0,0 +1,57 @@
+import type { Manifest, RouteIndexEntry, ServiceSection, Snapshot } from '@sequoiafield/types';
+import { meshSectionName } from './sections.js';
+
+const describeEntry = ({ name, service, method, path }: RouteIndexEntry): string =>
+  `${name} (${method} ${path} to ${service})`;
+
+const checkMeshAgainstManifest = (
+  index: readonly RouteIndexEntry[],
+  manifest: Manifest,
+): string[] =>
+  index
+    .filter(({ service }) => !Object.hasOwn(manifest.sections, service))
+    .map((entry) => `route ${describeEntry(entry)} refers to a service without a section`);
+
+const checkServiceAgainstIndex = (
+  name: string,
+  section: ServiceSection,
+  index: readonly RouteIndexEntry[],
+): string[] => {
+  const indexed = new Set(index.filter(({ service }) => service === name).map(describeEntry));
+  const held = new Set(section.routes.map(describeEntry));
+  return [
+    ...[...held]
+      .filter((entry) => !indexed.has(entry))
+      .map((entry) => `route ${entry} is not in the route index`),
+    ...[...indexed]
+      .filter((entry) => !held.has(entry))
+      .map((entry) => `route ${entry} of the index is not in its service's section`),
+  ];
+};
+
+/**
+ * Checks a whole snapshot before it is swapped in: every route of the index leads to a section of
+ * the manifest, and each section held agrees with index and manifest. A snapshot may hold fewer
+ * sections than the manifest, since a node holds only the services that it routes to.
+ *
+ * @example
+ * const problems = checkReferences({ mesh, services }, manifest);
+ * if (problems.length > 0) keepTheOldSnapshot(problems);
+ * @returns one line per dangling or disagreeing reference; empty if all is well.
+ */
+export const checkReferences = (
+  snapshot: Pick<Snapshot, 'mesh' | 'services'>,
+  manifest: Manifest,
+): readonly string[] => {
+  const problems = checkMeshAgainstManifest(snapshot.mesh.routeIndex, manifest);
+  snapshot.services.forEach((section, name) => {
+    if (name === meshSectionName || !Object.hasOwn(manifest.sections, name)) {
+      problems.push(`section ${name} is not in the manifest`);
+    }
+    if (section.service.name !== name) {
+      problems.push(`section ${name} describes service ${section.service.name}`);
+    }
+    problems.push(...checkServiceAgainstIndex(name, section, snapshot.mesh.routeIndex));
+  });
+  return problems;
+};
--- /dev/null
+++ b/packages/config/src/folder-schema.ts
@@ -0,0 +1,83 @@
+import { DataCentreState, Priority } from '@sequoiafield/types';
+import { z } from 'zod';
+import {
+  iniValue,
+  isRoutePath,
+  nameValue,
+  oneOf,
+  percentage,
+  percentageFromZero,
+  utcTime,
+  versionValue,
+  wholeNumber,
+} from './values.js';
+
+/** Methods that a route may name. */
+export const routeMethods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'] as const;
+
+/** Words for the priorities in the files. */
+export const priorityWords = {
+  critical: Priority.Critical,
+  high: Priority.High,
+  normal: Priority.Normal,
+  low: Priority.Low,
+} as const;
+
+const dataCentreStateWords = { in: DataCentreState.In, out: DataCentreState.Out };
+const dayMs = 86_400_000;
+
+/** Keys of each kind of section; every value is decoded INI text. */
+export const sectionSchemas = {
+  service: z.strictObject({
+    priority: oneOf(priorityWords),
+    stable_version: versionValue(),
+    slots: wholeNumber('', 1, 10_000),
+    connections_max: wholeNumber('', 1, 100_000),
+    failure_limit_percent: percentageFromZero(),
+    latency_limit_ms: wholeNumber('ms', 1, 600_000),
+  }),
+  route: z.strictObject({
+    service: nameValue(),
+    method: iniValue(`one of ${routeMethods.join(', ')}`, (text) =>
+      routeMethods.find((method) => method === text),
+    ),
+    path: iniValue('a path such as /tabs/* with "*" only at the end', (text) =>
+      isRoutePath(text) ? text : undefined,
+    ),
+    idempotent: oneOf({ yes: true, no: false }),
+    deadline_ms: wholeNumber('ms', 1, 600_000),
+    retry_budget_percent: percentageFromZero(),
+  }),
+  'data-centre': z.strictObject({
+    region: nameValue(),
+    state: oneOf(dataCentreStateWords),
+    ramp_s: wholeNumber('s', 0, 86_400),
+    changed_at: utcTime().optional(),
+  }),
+  move: z.strictObject({
+    service: nameValue(),
+    from: versionValue(),
+    to: versionValue(),
+    start_at: utcTime(),
+    finish_by: utcTime(),
+    unproven_cap_percent: percentage(0),
+  }),
+  objective: z.strictObject({
+    service: nameValue(),
+    target_percent: iniValue('a percentage above 0 and below 100, without a unit', (text) => {
+      const value = Number(text);
+      return /^\d{1,2}(?:\.\d{1,6})?$/.test(text) && value > 0 ? value : undefined;
+    }),
+    latency_ms: wholeNumber('ms', 1, dayMs),
+    window_d: wholeNumber('d', 1, 366),
+  }),
+} as const;
+
+/** Kind of a section of the configuration folder. */
+export type SectionKind = keyof typeof sectionSchemas;
+
+/** Decoded keys of one kind of section. */
+export type SectionValues<K extends SectionKind> = z.output<(typeof sectionSchemas)[K]>;
+
+/** Kinds of section in the order in which `diff` lists them. */
+export const sectionKinds = Object.keys(sectionSchemas) as readonly SectionKind[];
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,1 +1,29 @@
-export {};
+export { digestOf, toCanonicalJson } from './canonical-json.js';
+export { checkReferences } from './check-references.js';
+export { loadFiles, loadFolder, type FolderFile, type LoadedFolder } from './load-folder.js';
+export type { MergedKey, MergedSection } from './merged-folder.js';
+export {
+  checkHead,
+  parseHead,
+  parseManifest,
+  parseSection,
+  parseSeeds,
+  parseVerdict,
+  type ParsedSection,
+} from './parse-bodies.js';
+export {
+  ConfigDataError,
+  ConfigRefusedError,
+  formatOrigin,
+  formatProblem,
+  type ConfigProblem,
+  type Origin,
+} from './problems.js';
+export {
+  buildManifest,
+  meshSectionName,
+  serializeSection,
+  toSections,
+  type ManifestBody,
+  type SectionBody,
+} from './sections.js';
--- /dev/null
+++ b/packages/config/src/load-folder.ts
@@ -0,0 +1,98 @@
+import { readdir, readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import type { Configuration } from '@sequoiafield/types';
+import { buildConfiguration } from './build-configuration.js';
+import { checkAcrossSections } from './folder-checks.js';
+import { readIniText } from './ini-lines.js';
+import { FolderMerger, type MergedSection } from './merged-folder.js';
+import { refuse, type ConfigProblem } from './problems.js';
+import { SectionTyper, type TypedSections } from './section-values.js';
+
+/** Name and text of one file of a configuration folder. */
+export interface FolderFile {
+  readonly name: string;
+  readonly text: string;
+}
+
+/** A checked folder: the configuration and where each value came from. */
+export interface LoadedFolder {
+  readonly configuration: Configuration;
+  /** Merged sections by title such as `service settlement`. */
+  readonly sections: ReadonlyMap<string, MergedSection>;
+  readonly fileNames: readonly string[];
+}
+
+const typeSections = (
+  sections: ReadonlyMap<string, MergedSection>,
+  problems: ConfigProblem[],
+): TypedSections => {
+  const typer = new SectionTyper();
+  const typed = {
+    service: typer.select('service', sections.values()),
+    route: typer.select('route', sections.values()),
+    'data-centre': typer.select('data-centre', sections.values()),
+    move: typer.select('move', sections.values()),
+    objective: typer.select('objective', sections.values()),
+  };
+  problems.push(...typer.problems);
+  return typed;
+};
+
+/**
+ * Merges and checks files that are already read; later names override earlier ones.
+ *
+ * @example
+ * const { configuration } = loadFiles('conf', [{ name: '10-base.ini', text }]);
+ * @throws ConfigRefusedError with every problem found, not only the first.
+ */
+export const loadFiles = (folder: string, files: readonly FolderFile[]): LoadedFolder => {
+  const ordered = [...files].sort((left, right) => (left.name < right.name ? -1 : 1));
+  const merger = new FolderMerger();
+  const problems: ConfigProblem[] = [];
+  ordered.forEach(({ name, text }) => {
+    const file = readIniText(text, name);
+    problems.push(...file.problems);
+    file.sections.forEach((section) => merger.add(section));
+  });
+  problems.push(...merger.problems);
+  if (merger.sections.size === 0 && problems.length === 0) {
+    // An empty folder is far more often a wrong path than the wish to remove every service.
+    const expected = 'a folder with at least one section in a file *.ini';
+    problems.push({ file: folder, line: 0, found: 'no section', expected });
+  }
+  const typed = typeSections(merger.sections, problems);
+  problems.push(...checkAcrossSections(typed, merger.sections.values()));
+  if (problems.length > 0) throw refuse(`Configuration folder ${folder}`, problems);
+  return {
+    configuration: buildConfiguration(typed),
+    sections: merger.sections,
+    fileNames: ordered.map(({ name }) => name),
+  };
+};
+
+/**
+ * Reads, merges and checks the `*.ini` files of a folder in the order of their names (by code
+ * unit, independent of the locale). Other files and subfolders are ignored.
+ *
+ * @example
+ * const { configuration } = await loadFolder('./conf');
+ * @throws ConfigRefusedError with file, line and what was expected for every problem.
+ */
+export const loadFolder = async (folder: string): Promise<LoadedFolder> => {
+  const readFiles = async (): Promise<FolderFile[]> => {
+    const entries = await readdir(folder, { withFileTypes: true });
+    const names = entries
+      .filter((entry) => !entry.isDirectory() && entry.name.endsWith('.ini'))
+      .map((entry) => entry.name);
+    return Promise.all(
+      names.map(async (name) => ({ name, text: await readFile(join(folder, name), 'utf8') })),
+    );
+  };
+  const files = await readFiles().catch((error: Error) => {
+    const found = `cannot be read (${error.message})`;
+    throw refuse(`Configuration folder ${folder}`, [
+      { file: folder, line: 0, found, expected: 'a readable folder' },
+    ]);
+  });
+  return loadFiles(folder, files);
+};
--- /dev/null
+++ b/packages/config/src/parse-bodies.ts
@@ -0,0 +1,143 @@
+import type {
+  HeadRecord,
+  Manifest,
+  MeshSection,
+  SeedRecord,
+  ServiceSection,
+  VerdictRecord,
+} from '@sequoiafield/types';
+import { z } from 'zod';
+import {
+  headSchema,
+  manifestSchema,
+  meshSchema,
+  seedRecordSchema,
+  serviceSectionSchema,
+  verdictSchema,
+} from './body-schemas.js';
+import { digestOf } from './canonical-json.js';
+import { ConfigDataError } from './problems.js';
+import { meshSectionName } from './sections.js';
+
+/** A checked section: `mesh` or that of a service. */
+export type ParsedSection =
+  | { readonly kind: 'mesh'; readonly mesh: MeshSection }
+  | { readonly kind: 'service'; readonly section: ServiceSection };
+
+const parseJson = (subject: string, text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw new ConfigDataError(`${subject} is not JSON:`, { cause: error });
+  }
+};
+
+const checkForm = <T>(subject: string, schema: z.ZodType<T>, value: unknown): T => {
+  const result = schema.safeParse(value);
+  if (result.success) return result.data;
+  throw new ConfigDataError(
+    `${subject} has the wrong form: ${z.prettifyError(result.error).replaceAll('\n', ' ')}`,
+  );
+};
+
+const checkDigest = (subject: string, body: string, expectedDigest: string | undefined): void => {
+  if (expectedDigest === undefined) return;
+  const digest = digestOf(body);
+  if (digest !== expectedDigest) {
+    throw new ConfigDataError(`${subject} has digest ${digest}; expected ${expectedDigest}`);
+  }
+};
+
+const checkServiceSection = (name: string, section: ServiceSection): void => {
+  const { service, routes, moves, objective } = section;
+  const misplaced = [
+    ...(service.name === name ? [] : [`service ${service.name}`]),
+    ...routes.filter((route) => route.service !== name).map((route) => `route ${route.name}`),
+    ...moves.filter((move) => move.service !== name).map((move) => `move ${move.id}`),
+    ...(objective && objective.service !== name ? [`objective of ${objective.service}`] : []),
+  ];
+  if (misplaced.length > 0) {
+    throw new ConfigDataError(
+      `Section ${name} holds what belongs to another service: ${misplaced.join(', ')}`,
+    );
+  }
+};
+
+/**
+ * Parses and checks the body of a section that came from a peer or the store. With an expected
+ * digest, a body that differs in any byte is refused first.
+ *
+ * @example
+ * const parsed = parseSection('settlement', body, manifest.sections.settlement);
+ * @throws ConfigDataError if digest, form or ownership is wrong.
+ */
+export const parseSection = (
+  name: string,
+  body: string,
+  expectedDigest?: string,
+): ParsedSection => {
+  const subject = `Section ${name}`;
+  checkDigest(subject, body, expectedDigest);
+  const value = parseJson(subject, body);
+  if (name === meshSectionName) {
+    return { kind: 'mesh', mesh: checkForm(subject, meshSchema, value) };
+  }
+  const section: ServiceSection = checkForm(subject, serviceSectionSchema, value);
+  checkServiceSection(name, section);
+  return { kind: 'service', section };
+};
+
+/**
+ * Parses and checks a manifest that came from a peer or the store.
+ *
+ * @example
+ * const manifest = parseManifest(body, head.manifestDigest);
+ * @throws ConfigDataError if digest or form is wrong, or section `mesh` is absent.
+ */
+export const parseManifest = (body: string, expectedDigest?: string): Manifest => {
+  checkDigest('Manifest', body, expectedDigest);
+  const manifest = checkForm('Manifest', manifestSchema, parseJson('Manifest', body));
+  if (manifest.sections[meshSectionName] === undefined) {
+    throw new ConfigDataError('Manifest has no section mesh');
+  }
+  return manifest;
+};
+
+/**
+ * Checks the form of a head record that came from a peer as an object.
+ *
+ * @example
+ * const head = checkHead(entry.body);
+ * @throws ConfigDataError if the form is wrong.
+ */
+export const checkHead = (value: unknown): HeadRecord =>
+  checkForm('Head record', headSchema, value);
+
+/**
+ * Parses and checks a head record or history entry that came from the store.
+ *
+ * @example
+ * const { configVersion } = parseHead(entry.value);
+ * @throws ConfigDataError if it is not JSON or its form is wrong.
+ */
+export const parseHead = (body: string): HeadRecord => checkHead(parseJson('Head record', body));
+
+/**
+ * Parses and checks a verdict record that came from the store.
+ *
+ * @example
+ * const { verdict, reason } = parseVerdict(entry.value);
+ * @throws ConfigDataError if it is not JSON or its form is wrong.
+ */
+export const parseVerdict = (body: string): VerdictRecord =>
+  checkForm('Verdict record', verdictSchema, parseJson('Verdict record', body));
+
+/**
+ * Parses and checks a seed record that came from the store.
+ *
+ * @example
+ * const { seeds } = parseSeeds(entry.value);
+ * @throws ConfigDataError if it is not JSON or its form is wrong.
+ */
+export const parseSeeds = (body: string): SeedRecord =>
+  checkForm('Seed record', seedRecordSchema, parseJson('Seed record', body));
--- /dev/null
+++ b/packages/config/src/problems.ts
@@ -0,0 +1,66 @@
+import { ConfigError } from '@sequoiafield/errors';
+
+/** One reason why a configuration or settings file is refused. */
+export interface ConfigProblem {
+  /** File name, or the source of a value without a file, such as `environment`. */
+  readonly file: string;
+  /** Line in the file, from 1; 0 if the value has no line. */
+  readonly line: number;
+  readonly found: string;
+  readonly expected: string;
+}
+
+/** Place of a value in a file. */
+export interface Origin {
+  readonly file: string;
+  readonly line: number;
+}
+
+/**
+ * Formats a place as `file:line`, or as the file alone if there is no line.
+ *
+ * @example
+ * formatOrigin({ file: '10-base.ini', line: 3 }); // '10-base.ini:3'
+ */
+export const formatOrigin = ({ file, line }: Origin): string =>
+  line > 0 ? `${file}:${line}` : file;
+
+/**
+ * Formats a problem as one line with file, line, what was found and what was expected.
+ *
+ * @example
+ * formatProblem({ file: 'a.ini', line: 3, found: 'slots is "x"', expected: 'a whole number' });
+ * // 'a.ini:3: slots is "x"; expected a whole number'
+ */
+export const formatProblem = (problem: ConfigProblem): string =>
+  `${formatOrigin(problem)}: ${problem.found}; expected ${problem.expected}`;
+
+/** A folder or a settings file is refused; `problems` lists every reason found. */
+export const ConfigRefusedError = ConfigError.subclass('ConfigRefusedError', {
+  props: { problems: [] as readonly ConfigProblem[] },
+});
+
+/** A section, manifest or head from a peer or the store does not have the expected form. */
+export const ConfigDataError = ConfigError.subclass('ConfigDataError');
+
+const compareProblems = (left: ConfigProblem, right: ConfigProblem): number => {
+  if (left.file !== right.file) return left.file < right.file ? -1 : 1;
+  return left.line - right.line;
+};
+
+/**
+ * Builds the error for a list of problems, in the order of file and line.
+ *
+ * @example
+ * if (problems.length > 0) throw refuse('Configuration folder conf', problems);
+ */
+export const refuse = (
+  subject: string,
+  problems: readonly ConfigProblem[],
+): InstanceType<typeof ConfigRefusedError> => {
+  const sorted = [...problems].sort(compareProblems);
+  const lines = sorted.map(formatProblem);
+  return new ConfigRefusedError([`${subject} is refused`, ...lines].join('\n'), {
+    props: { problems: sorted },
+  });
+};
--- /dev/null
+++ b/packages/config/src/section-values.ts
@@ -0,0 +1,81 @@
+import type { z } from 'zod';
+import { sectionSchemas, type SectionKind, type SectionValues } from './folder-schema.js';
+import { originOf, type MergedSection } from './merged-folder.js';
+import type { ConfigProblem } from './problems.js';
+
+/** A merged section with its typed values. */
+export interface TypedSection<K extends SectionKind> {
+  readonly merged: MergedSection;
+  readonly name: string;
+  readonly values: SectionValues<K>;
+}
+
+/** All typed sections of a folder by kind, sorted by name. */
+export type TypedSections = { readonly [K in SectionKind]: readonly TypedSection<K>[] };
+
+const unitPattern = /_(ms|s|m|h|d|percent|bytes)$/;
+
+/**
+ * Says which keys are expected in place of an unknown one; a known key with another unit comes
+ * first, since a wrong unit is the likely mistake.
+ *
+ * @example
+ * expectKeyInstead('latency_limit_s', ['slots', 'latency_limit_ms']);
+ * // 'latency_limit_ms (wrong unit)'
+ */
+export const expectKeyInstead = (key: string, knownKeys: readonly string[]): string => {
+  const stem = key.replace(unitPattern, '');
+  const other = knownKeys.find((known) => known.replace(unitPattern, '') === stem);
+  return other ? `${other} (wrong unit)` : `one of ${knownKeys.join(', ')}`;
+};
+
+/** Turns the issues of a schema into problems with file and line. */
+const describeIssue = (
+  section: MergedSection,
+  knownKeys: readonly string[],
+  issue: z.core.$ZodIssue,
+): ConfigProblem[] => {
+  const title = `[${section.kind} ${section.name}]`;
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({
+      file: originOf(section, key).file,
+      line: originOf(section, key).line,
+      found: `unknown key ${key} of ${title}`,
+      expected: expectKeyInstead(key, knownKeys),
+    }));
+  }
+  const key = String(issue.path[0]);
+  const { file, line } = originOf(section, key);
+  const value = section.keys.get(key)?.value;
+  const found =
+    value === undefined ? `${title} lacks key ${key}` : `${key} of ${title} is "${value}"`;
+  return [{ file, line, found, expected: issue.message }];
+};
+
+/** Checks every merged section against the schema of its kind. */
+export class SectionTyper {
+  readonly problems: ConfigProblem[] = [];
+
+  /** Typed sections of one kind; a section with a problem is left out. */
+  select<K extends SectionKind>(
+    kind: K,
+    sections: Iterable<MergedSection>,
+  ): readonly TypedSection<K>[] {
+    const schema = sectionSchemas[kind];
+    const knownKeys = Object.keys(schema.shape);
+    const typed: TypedSection<K>[] = [];
+    for (const merged of sections) {
+      if (merged.kind !== kind) continue;
+      const raw = Object.fromEntries([...merged.keys].map(([key, { value }]) => [key, value]));
+      const result = schema.safeParse(raw);
+      if (result.success) {
+        typed.push({ merged, name: merged.name, values: result.data as SectionValues<K> });
+      } else {
+        this.problems.push(
+          ...result.error.issues.flatMap((issue) => describeIssue(merged, knownKeys, issue)),
+        );
+      }
+    }
+    return typed.sort((left, right) => (left.name < right.name ? -1 : 1));
+  }
+}
