Accept configurations in the platform's store

Cause: an accepted configuration must survive lost answers, outages and concurrent operators. Change: PlatformStore with an HTTP adaptor that separates "not written" from "outcome unknown", ConfigRepository with accept, history, verdicts and seeds, and the store stand-in with fault rules and call counters.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './store/index.js';
--- /dev/null
+++ b/packages/stand-ins/src/store/index.ts
@@ -0,0 +1,4 @@
+export { FaultEffect, FaultOperation, FaultPlan, type FaultRule } from './fault-plan.js';
+export { KeyValueTable, type KeyValueEntry } from './key-value-table.js';
+export { storeCommand } from './store-command.js';
+export { StoreServer, type StoreCounters } from './store-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -0,0 +1,163 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import { FaultEffect, FaultOperation, FaultPlan, type FaultRule } from './fault-plan.js';
+import { KeyValueTable } from './key-value-table.js';
+
+/** Largest value, as on the platform. */
+const valueMaxBytes = 1024 * 1024;
+/** JSON escapes at most double the usual text; the value itself is measured exactly. */
+const bodyLimitBytes = 4 * valueMaxBytes;
+const defaultLeaseMs = 10_000;
+
+/** Calls that the store counted; a waiting watch counts as one. */
+export interface StoreCounters {
+  reads: number;
+  writes: number;
+  watches: number;
+  leases: number;
+}
+
+interface KeyRequest {
+  readonly Params: { readonly '*': string };
+}
+
+interface HttpReply {
+  readonly status: number;
+  readonly body?: unknown;
+}
+
+/**
+ * Stand-in for the platform's key-value store over HTTP. Faults are set by `PUT /control/faults`,
+ * calls counted by `GET /control/counters`; neither is subject to the faults.
+ *
+ * @example
+ * const server = new StoreServer();
+ * const url = await server.listen('127.0.0.1', 0);
+ * await server.close();
+ */
+export class StoreServer {
+  readonly table = new KeyValueTable();
+
+  readonly faults = new FaultPlan();
+
+  readonly counters: StoreCounters = { reads: 0, writes: 0, watches: 0, leases: 0 };
+
+  readonly #app: FastifyInstance;
+
+  constructor() {
+    this.#app = Fastify({ bodyLimit: bodyLimitBytes, forceCloseConnections: true });
+    this.#addKeyRoutes();
+    this.#addLeaseRoutes();
+    this.#addControlRoutes();
+  }
+
+  /** Listens and returns the URL; port 0 takes a free one. */
+  async listen(address: string, port: number): Promise<string> {
+    return this.#app.listen({ host: address, port });
+  }
+
+  async close(): Promise<void> {
+    await this.#app.close();
+  }
+
+  #addKeyRoutes(): void {
+    this.#app.get<KeyRequest>('/v1/kv/*', (request, reply) => {
+      const key = request.params['*'];
+      this.counters.reads += 1;
+      return this.#serve(FaultOperation.Read, key, reply, () => {
+        const entry = this.table.get(key);
+        return entry ? { status: 200, body: entry } : { status: 404, body: { absent: true } };
+      });
+    });
+    this.#app.put<KeyRequest>('/v1/kv/*', (request, reply) => {
+      this.counters.writes += 1;
+      const key = request.params['*'];
+      return this.#serve(FaultOperation.Write, key, reply, () => this.#swap(request));
+    });
+    this.#app.get<KeyRequest & { Querystring: { afterRevision?: string; waitMs?: string } }>(
+      '/v1/watch/*',
+      (request, reply) => {
+        const key = request.params['*'];
+        const { afterRevision = '0', waitMs = '0' } = request.query;
+        this.counters.watches += 1;
+        return this.#serve(FaultOperation.Read, key, reply, async () => {
+          const entry = await this.table.watch(key, Number(afterRevision), Number(waitMs));
+          return entry ? { status: 200, body: entry } : { status: 204 };
+        });
+      },
+    );
+  }
+
+  #swap(request: FastifyRequest<KeyRequest>): HttpReply {
+    const { expectedRevision, value } = (request.body ?? {}) as Record<string, unknown>;
+    if (typeof expectedRevision !== 'number' || typeof value !== 'string') {
+      return { status: 400, body: { error: 'expectedRevision and value are required' } };
+    }
+    if (Buffer.byteLength(value) > valueMaxBytes) {
+      return { status: 413, body: { error: `a value has at most ${valueMaxBytes} bytes` } };
+    }
+    const key = request.params['*'];
+    const entry = this.table.compareAndSwap(key, expectedRevision, value);
+    if (entry) return { status: 200, body: { revision: entry.revision } };
+    return { status: 409, body: { current: this.table.get(key) ?? null } };
+  }
+
+  #addLeaseRoutes(): void {
+    this.#app.post('/v1/leases', (request, reply) => {
+      this.counters.leases += 1;
+      const { durationMs = defaultLeaseMs } = (request.body ?? {}) as { durationMs?: number };
+      return this.#serve(FaultOperation.Write, '', reply, () => ({
+        status: 200,
+        body: { leaseId: this.table.grantLease(durationMs, performance.now()) },
+      }));
+    });
+    this.#app.put<{ Params: { leaseId: string } }>('/v1/leases/:leaseId', (request, reply) => {
+      this.counters.leases += 1;
+      const { leaseId } = request.params;
+      const { durationMs = defaultLeaseMs } = (request.body ?? {}) as { durationMs?: number };
+      return this.#serve(FaultOperation.Write, '', reply, () => ({
+        status: 200,
+        body: { isHeld: this.table.keepLease(leaseId, durationMs, performance.now()) },
+      }));
+    });
+  }
+
+  #addControlRoutes(): void {
+    this.#app.get('/control/counters', () => this.counters);
+    this.#app.put('/control/faults', (request) => {
+      const rules = request.body as Partial<FaultRule>[];
+      this.faults.replace(
+        rules.map((rule) => ({
+          effect: rule.effect ?? FaultEffect.Refuse,
+          operation: rule.operation ?? FaultOperation.Any,
+          keyPrefix: rule.keyPrefix ?? '',
+          delayMs: rule.delayMs ?? 0,
+          remaining: rule.remaining,
+        })),
+      );
+      return { rules: rules.length };
+    });
+  }
+
+  /** Runs a request under the fault plan. */
+  async #serve(
+    operation: FaultOperation,
+    key: string,
+    reply: FastifyReply,
+    execute: () => HttpReply | Promise<HttpReply>,
+  ): Promise<unknown> {
+    const rule = this.faults.take(operation, key);
+    if (rule?.effect === FaultEffect.Refuse) {
+      return reply.code(503).send({ error: 'refused by a fault rule' });
+    }
+    if (rule?.effect === FaultEffect.Hang) return reply.hijack();
+    if (rule?.effect === FaultEffect.Delay) await sleep(rule.delayMs);
+    const result = rule?.effect === FaultEffect.Drop ? undefined : await execute();
+    if (!result || rule?.effect === FaultEffect.LoseAnswer) {
+      reply.hijack();
+      reply.raw.destroy();
+      return reply;
+    }
+    return reply.code(result.status).send(result.body);
+  }
+}
--- /dev/null
+++ b/packages/store/src/accept-operation.ts
@@ -0,0 +1,164 @@
+import {
+  buildManifest,
+  checkHead,
+  toCanonicalJson,
+  toSections,
+  type ManifestBody,
+  type SectionBody,
+} from '@sequoiafield/config';
+import { wallNowUnixMs } from '@sequoiafield/tables';
+import type { Configuration, HeadRecord, Manifest, MeshSection } from '@sequoiafield/types';
+import type { ConfigReader, ReadHead } from './config-reader.js';
+import { AcceptConflictError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
+import { HeadSettlement } from './head-settlement.js';
+import { mapInBatches } from './in-batches.js';
+import { storeKeys } from './keys.js';
+import { absentRevision, type PlatformStore } from './platform-store.js';
+import { stampDataCentres } from './stamp-data-centres.js';
+import { writeContent } from './write-content.js';
+
+/** What an operator asks to be accepted. */
+export interface AcceptRequest {
+  readonly configuration: Configuration;
+  readonly author: string;
+  /** Identifies this request for good; settles lost answers. */
+  readonly operationId: string;
+}
+
+/** Result of an accept that did not fail. */
+export type AcceptResult =
+  | {
+      readonly kind: 'accepted';
+      readonly head: HeadRecord;
+      /** Sections whose digest differs from the one accepted before, including removed ones. */
+      readonly changedSections: readonly string[];
+      /** False if only the history entry is missing; the next accept adds it. */
+      readonly isHistoryWritten: boolean;
+    }
+  | { readonly kind: 'unchanged'; readonly head: HeadRecord };
+
+/** What the new configuration is based on. */
+interface Base {
+  readonly head: ReadHead | undefined;
+  readonly manifest: Manifest | undefined;
+  readonly mesh: MeshSection | undefined;
+}
+
+const listChangedSections = (before: Manifest | undefined, after: Manifest): string[] => {
+  const old = before?.sections ?? {};
+  const names = new Set([...Object.keys(old), ...Object.keys(after.sections)]);
+  return [...names].filter((name) => old[name] !== after.sections[name]).sort();
+};
+
+/** One run of `accept`: reads the head, writes sections and manifest, swaps the head once. */
+export class AcceptOperation {
+  readonly #store: PlatformStore;
+
+  readonly #reader: ConfigReader;
+
+  readonly #request: AcceptRequest;
+
+  constructor(store: PlatformStore, reader: ConfigReader, request: AcceptRequest) {
+    this.#store = store;
+    this.#reader = reader;
+    this.#request = request;
+  }
+
+  async run(): Promise<AcceptResult> {
+    const base = await this.#orNothing('read what is accepted', () => this.#readBase());
+    if (base.head?.record.operationId === this.#request.operationId) {
+      return this.#finish(base.head.record, []);
+    }
+    const nowUnixMs = wallNowUnixMs();
+    const sections = toSections(
+      stampDataCentres(this.#request.configuration, base.mesh, nowUnixMs),
+    );
+    const manifest = buildManifest((base.head?.record.configVersion ?? 0) + 1, sections);
+    const changedSections = listChangedSections(base.manifest, manifest.manifest);
+    if (base.head && changedSections.length === 0) {
+      return { kind: 'unchanged', head: base.head.record };
+    }
+    const record = this.#buildRecord(manifest, nowUnixMs);
+    await this.#orNothing('write the new sections', () =>
+      this.#writeContents(base, sections, manifest),
+    );
+    return this.#finish(await this.#swapHead(base.head, record), changedSections);
+  }
+
+  async #readBase(): Promise<Base> {
+    const head = await this.#reader.readHead();
+    if (!head) return { head, manifest: undefined, mesh: undefined };
+    const manifest = await this.#reader.readManifest(head.record.manifestDigest);
+    const mesh = await this.#reader.readMesh(manifest);
+    return { head, manifest, mesh };
+  }
+
+  #buildRecord({ manifest, digest }: ManifestBody, nowUnixMs: number): HeadRecord {
+    return checkHead({
+      configVersion: manifest.configVersion,
+      manifestDigest: digest,
+      operationId: this.#request.operationId,
+      acceptedAtUnixMs: nowUnixMs,
+      author: this.#request.author,
+    });
+  }
+
+  async #writeContents(
+    base: Base,
+    sections: readonly SectionBody[],
+    manifest: ManifestBody,
+  ): Promise<void> {
+    // The entry of the version before exists before the next head does, so that an operator whose
+    // answer was lost finds his operation in the history even if the head has moved on.
+    if (base.head) await this.#writeHistory(base.head.record);
+    const accepted = base.manifest?.sections ?? {};
+    const missing = sections.filter(({ name, digest }) => accepted[name] !== digest);
+    await mapInBatches(missing, ({ digest, body }) =>
+      writeContent(this.#store, storeKeys.section(digest), body),
+    );
+    await writeContent(this.#store, storeKeys.manifest(manifest.digest), manifest.body);
+  }
+
+  async #swapHead(base: ReadHead | undefined, record: HeadRecord): Promise<HeadRecord> {
+    const expectedRevision = base?.revision ?? absentRevision;
+    const settlement = new HeadSettlement(this.#reader, base, record);
+    try {
+      const result = await this.#store.compareAndSwap(
+        storeKeys.head,
+        expectedRevision,
+        toCanonicalJson(record),
+      );
+      if (result.kind === 'written') return record;
+    } catch (error) {
+      if (error instanceof StoreOutcomeUnknownError) return settlement.afterLostAnswer(error);
+      throw this.#nothingAccepted('swap the head', error);
+    }
+    return settlement.afterConflict();
+  }
+
+  async #finish(head: HeadRecord, changedSections: readonly string[]): Promise<AcceptResult> {
+    const isHistoryWritten = await this.#writeHistory(head).then(
+      () => true,
+      () => false,
+    );
+    return { kind: 'accepted', head, changedSections, isHistoryWritten };
+  }
+
+  async #writeHistory(head: HeadRecord): Promise<boolean> {
+    const key = storeKeys.history(head.configVersion);
+    return writeContent(this.#store, key, toCanonicalJson(head));
+  }
+
+  async #orNothing<T>(step: string, run: () => Promise<T>): Promise<T> {
+    try {
+      return await run();
+    } catch (error) {
+      throw this.#nothingAccepted(step, error);
+    }
+  }
+
+  #nothingAccepted(step: string, cause: unknown): Error {
+    if (cause instanceof AcceptConflictError) return cause;
+    return new NotAcceptedError(`Nothing was accepted; could not ${step}:`, { cause });
+  }
+}
--- /dev/null
+++ b/packages/store/src/config-reader.ts
@@ -0,0 +1,108 @@
+import {
+  digestOf,
+  meshSectionName,
+  parseHead,
+  parseManifest,
+  parseSection,
+  type SectionBody,
+} from '@sequoiafield/config';
+import type {
+  Configuration,
+  HeadRecord,
+  Manifest,
+  MeshSection,
+  ServiceSection,
+} from '@sequoiafield/types';
+import { StoreDataError } from './errors.js';
+import { mapInBatches } from './in-batches.js';
+import { storeKeys } from './keys.js';
+import type { PlatformStore } from './platform-store.js';
+
+/** The head record with the store's revision of it. */
+export interface ReadHead {
+  readonly record: HeadRecord;
+  readonly revision: number;
+}
+
+/** Most history entries that one call reads. */
+export const historyReadMax = 100;
+
+/** Reads the accepted configuration and its history. */
+export class ConfigReader {
+  readonly #store: PlatformStore;
+
+  constructor(store: PlatformStore) {
+    this.#store = store;
+  }
+
+  /** The accepted head, or undefined before the first accept. One call. */
+  async readHead(): Promise<ReadHead | undefined> {
+    const entry = await this.#store.get(storeKeys.head);
+    return entry && { record: parseHead(entry.value), revision: entry.revision };
+  }
+
+  /** The manifest with a digest, checked against it. One call. */
+  async readManifest(digest: string): Promise<Manifest> {
+    return parseManifest(await this.#readRequired(storeKeys.manifest(digest)), digest);
+  }
+
+  /** The body of a section, checked against its digest but not parsed. One call. */
+  async readSection(name: string, digest: string): Promise<SectionBody> {
+    const body = await this.#readRequired(storeKeys.section(digest));
+    if (digestOf(body) !== digest) {
+      throw new StoreDataError(`Section ${name} in the store does not have digest ${digest}`);
+    }
+    return { name, body, digest };
+  }
+
+  /** Section `mesh` of a manifest. One call. */
+  async readMesh(manifest: Manifest): Promise<MeshSection> {
+    const digest = manifest.sections[meshSectionName] ?? '';
+    const { body } = await this.readSection(meshSectionName, digest);
+    const parsed = parseSection(meshSectionName, body);
+    if (parsed.kind !== 'mesh') throw new StoreDataError('Section mesh has another kind');
+    return parsed.mesh;
+  }
+
+  /** The whole configuration of a head. One call, and one per section. */
+  async readConfiguration(head: HeadRecord): Promise<Configuration> {
+    const manifest = await this.readManifest(head.manifestDigest);
+    const bodies = await mapInBatches(Object.entries(manifest.sections), ([name, digest]) =>
+      this.readSection(name, digest),
+    );
+    let mesh: MeshSection = { dataCentres: [], routeIndex: [] };
+    const services = new Map<string, ServiceSection>();
+    bodies.forEach(({ name, body }) => {
+      const parsed = parseSection(name, body);
+      if (parsed.kind === 'mesh') mesh = parsed.mesh;
+      else services.set(name, parsed.section);
+    });
+    return { mesh, services };
+  }
+
+  /** One history entry, or undefined if it was never written. One call. */
+  async readHistoryEntry(configVersion: number): Promise<HeadRecord | undefined> {
+    const entry = await this.#store.get(storeKeys.history(configVersion));
+    return entry && parseHead(entry.value);
+  }
+
+  /**
+   * The newest accepted versions, newest first. The head stands for its own entry, which may not
+   * be written yet. At most `limit` calls.
+   */
+  async readHistory(limit: number): Promise<readonly HeadRecord[]> {
+    const head = await this.readHead();
+    if (!head) return [];
+    const { configVersion } = head.record;
+    const count = Math.min(limit, historyReadMax, configVersion);
+    const earlier = Array.from({ length: count - 1 }, (_, index) => configVersion - 1 - index);
+    const entries = await mapInBatches(earlier, (version) => this.readHistoryEntry(version));
+    return [head.record, ...entries.filter((entry) => entry !== undefined)];
+  }
+
+  async #readRequired(key: string): Promise<string> {
+    const entry = await this.#store.get(key);
+    if (!entry) throw new StoreDataError(`The store has no ${key}`);
+    return entry.value;
+  }
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,1 +1,20 @@
-export {};
+export type { AcceptRequest, AcceptResult } from './accept-operation.js';
+export { ConfigReader, historyReadMax, type ReadHead } from './config-reader.js';
+export { ConfigRepository, verdictRank, type ReadSeeds } from './config-repository.js';
+export {
+  AcceptConflictError,
+  AcceptUnknownError,
+  NotAcceptedError,
+  StoreDataError,
+  StoreNotWrittenError,
+  StoreOutcomeUnknownError,
+} from './errors.js';
+export { HttpStore, type HttpStoreOptions } from './http-store.js';
+export { storeKeys } from './keys.js';
+export {
+  absentRevision,
+  valueMaxBytes,
+  type PlatformStore,
+  type StoreEntry,
+  type SwapResult,
+} from './platform-store.js';
