Load process settings and compare configurations

Cause: nodes need checked settings from file, environment and flags, and operators need to see which file a changed value comes from.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,6 @@
 export { digestOf, toCanonicalJson } from './canonical-json.js';
 export { checkReferences } from './check-references.js';
+export { diffConfigurations, formatDifference, type KeyDifference } from './diff.js';
 export { loadFiles, loadFolder, type FolderFile, type LoadedFolder } from './load-folder.js';
 export type { MergedKey, MergedSection } from './merged-folder.js';
 export {
@@ -27,3 +28,11 @@
   type ManifestBody,
   type SectionBody,
 } from './sections.js';
+export {
+  loadNodeSettings,
+  loadStoreSettings,
+  type NodeSettings,
+  type StoreSettings,
+} from './node-settings.js';
+export type { SettingsSources } from './settings-reader.js';
+export { isLoopback, type IpEndpoint } from './settings-values.js';
--- a/packages/config/src/load-folder.ts
+++ b/packages/config/src/load-folder.ts
@@ -62,7 +62,7 @@
   }
   const typed = typeSections(merger.sections, problems);
   problems.push(...checkAcrossSections(typed, merger.sections.values()));
-  if (problems.length > 0) throw refuse(`Configuration folder ${folder}`, problems);
+  if (problems.length > 0) throw refuse(`configuration folder ${folder}`, problems);
   return {
     configuration: buildConfiguration(typed),
     sections: merger.sections,
@@ -90,7 +90,7 @@
   };
   const files = await readFiles().catch((error: Error) => {
     const found = `cannot be read (${error.message})`;
-    throw refuse(`Configuration folder ${folder}`, [
+    throw refuse(`configuration folder ${folder}`, [
       { file: folder, line: 0, found, expected: 'a readable folder' },
     ]);
   });
--- /dev/null
+++ b/packages/config/src/node-settings.ts
@@ -0,0 +1,141 @@
+import { isIP } from 'node:net';
+import { SettingsReader, type SettingsSources } from './settings-reader.js';
+import type { SettingsValues } from './settings-schema.js';
+import { isLoopback, type IpEndpoint } from './settings-values.js';
+
+/** Connection to the platform's store. */
+export interface StoreSettings {
+  readonly url: string;
+  readonly timeoutMs: number;
+}
+
+/** Settings of one node process. */
+export interface NodeSettings {
+  readonly node: {
+    readonly id: string;
+    readonly address: string;
+    readonly region: string;
+    readonly dataCentre: string;
+    /** Ports may be 0; the system then chooses a free one. */
+    readonly gossipPort: number;
+    readonly linkPort: number;
+    readonly callPort: number;
+    readonly adminAddress: string;
+    readonly adminPort: number;
+    /** Empty: no token is asked for, which is allowed on loopback only. */
+    readonly adminToken: string;
+  };
+  readonly backendServer: {
+    readonly service: string;
+    readonly version: string;
+    readonly address: string;
+    readonly port: number;
+    readonly healthPath: string;
+  };
+  readonly store: StoreSettings;
+  readonly gossip: { readonly seeds: readonly IpEndpoint[] };
+  /** Services that this node routes to; empty: all. */
+  readonly routing: { readonly services: readonly string[] };
+  readonly log: { readonly level: 'error' | 'warn' | 'info' };
+  readonly drain: { readonly timeoutMs: number };
+}
+
+const toNode = (values: SettingsValues<'node'>): NodeSettings['node'] => ({
+  id: values.id,
+  address: values.address,
+  region: values.region,
+  dataCentre: values.data_centre,
+  gossipPort: values.gossip_port,
+  linkPort: values.link_port,
+  callPort: values.call_port,
+  adminAddress: values.admin_address,
+  adminPort: values.admin_port,
+  adminToken: values.admin_token,
+});
+
+const toBackendServer = (
+  values: SettingsValues<'backend_server'>,
+): NodeSettings['backendServer'] => ({
+  service: values.service,
+  version: values.version,
+  address: values.address,
+  port: values.port,
+  healthPath: values.health_path,
+});
+
+const toStore = (values: SettingsValues<'store'>): StoreSettings => ({
+  url: values.url,
+  timeoutMs: values.timeout_ms,
+});
+
+const checkAdminAccess = (reader: SettingsReader): void => {
+  const address = reader.raw('node', 'admin_address');
+  const token = reader.raw('node', 'admin_token') ?? '';
+  if (address === undefined || !isIP(address) || isLoopback(address) || token !== '') return;
+  reader.report(
+    'node',
+    'admin_address',
+    `admin_address ${address} of [node] is off loopback and admin_token is empty`,
+    'a loopback address, or an admin_token',
+  );
+};
+
+/**
+ * Loads and checks the settings of a node: an INI file, then environment variables
+ * `SEQUOIAFIELD_<SECTION>_<KEY>`, then overrides by `section.key` from flags.
+ *
+ * @example
+ * const settings = await loadNodeSettings({
+ *   file: 'node.ini',
+ *   env: process.env,
+ *   overrides: { 'node.gossip_port': '0' },
+ * });
+ * @throws ConfigRefusedError that lists every problem with its source.
+ */
+export const loadNodeSettings = async (sources: SettingsSources): Promise<NodeSettings> => {
+  const reader = new SettingsReader(sources);
+  await reader.collect();
+  const node = reader.select('node');
+  const backendServer = reader.select('backend_server');
+  const store = reader.select('store');
+  const gossip = reader.select('gossip');
+  const routing = reader.select('routing');
+  const log = reader.select('log');
+  const drain = reader.select('drain');
+  checkAdminAccess(reader);
+  reader.throwIfRefused();
+  if (!node || !backendServer || !store || !gossip || !routing || !log || !drain) {
+    throw new Error('A section of the settings is absent without a reported problem');
+  }
+  return {
+    node: toNode(node),
+    backendServer: toBackendServer(backendServer),
+    store: toStore(store),
+    gossip,
+    routing,
+    log,
+    drain: { timeoutMs: drain.timeout_ms },
+  };
+};
+
+/**
+ * Loads only section `[store]`, for operator commands; undefined if no source has it. The other
+ * sections of the file may be there and are not checked.
+ *
+ * @example
+ * const store = await loadStoreSettings({ env: process.env, overrides: { 'store.url': url } });
+ * @throws ConfigRefusedError if a value of the section is wrong.
+ */
+export const loadStoreSettings = async (
+  sources: SettingsSources,
+): Promise<StoreSettings | undefined> => {
+  const reader = new SettingsReader(sources);
+  await reader.collect();
+  if (!reader.has('store')) {
+    reader.throwIfRefused();
+    return undefined;
+  }
+  const store = reader.select('store');
+  reader.throwIfRefused();
+  return store && toStore(store);
+};
--- a/packages/config/src/problems.ts
+++ b/packages/config/src/problems.ts
@@ -52,7 +52,7 @@
  * Builds the error for a list of problems, in the order of file and line.
  *
  * @example
- * if (problems.length > 0) throw refuse('Configuration folder conf', problems);
+ * if (problems.length > 0) throw refuse('configuration folder conf', problems);
  */
 export const refuse = (
   subject: string,
@@ -60,7 +60,7 @@
 ): InstanceType<typeof ConfigRefusedError> => {
   const sorted = [...problems].sort(compareProblems);
   const lines = sorted.map(formatProblem);
-  return new ConfigRefusedError([`${subject} is refused`, ...lines].join('\n'), {
+  return new ConfigRefusedError([`Refused ${subject}`, ...lines].join('\n'), {
     props: { problems: sorted },
   });
 };
--- /dev/null
+++ b/packages/config/src/render-configuration.ts
@@ -0,0 +1,89 @@
+import { Priority, type Configuration, type ServiceSection } from '@sequoiafield/types';
+import { priorityWords } from './folder-schema.js';
+
+/** Keys and values of each section as INI text, by title such as `service settlement`. */
+export type RenderedConfiguration = ReadonlyMap<string, ReadonlyMap<string, string>>;
+
+type Fields = Readonly<Record<string, string | number>>;
+
+const toWord = (priority: Priority): string =>
+  Object.entries(priorityWords).find(([, value]) => value === priority)?.[0] ?? String(priority);
+
+const toTime = (unixMs: number): string => new Date(unixMs).toISOString().replace('.000Z', 'Z');
+
+const renderService = (section: ServiceSection): [string, Fields][] => {
+  const { service, routes, moves, objective } = section;
+  const rendered: [string, Fields][] = [
+    [
+      `service ${service.name}`,
+      {
+        priority: toWord(service.priority),
+        stable_version: service.stableVersion,
+        slots: service.slots,
+        connections_max: service.connectionsMax,
+        failure_limit_percent: service.failureLimitPercent,
+        latency_limit_ms: service.latencyLimitMs,
+      },
+    ],
+  ];
+  routes.forEach((route) =>
+    rendered.push([
+      `route ${route.name}`,
+      {
+        service: route.service,
+        method: route.method,
+        path: route.path,
+        idempotent: route.isIdempotent ? 'yes' : 'no',
+        deadline_ms: route.deadlineMs,
+        retry_budget_percent: route.retryBudgetPercent,
+      },
+    ]),
+  );
+  moves.forEach((move) =>
+    rendered.push([
+      `move ${move.id}`,
+      {
+        service: move.service,
+        from: move.fromVersion,
+        to: move.toVersion,
+        start_at: toTime(move.startAtUnixMs),
+        finish_by: toTime(move.finishByUnixMs),
+        unproven_cap_percent: move.unprovenCapPercent,
+      },
+    ]),
+  );
+  if (objective) {
+    rendered.push([
+      `objective of ${objective.service}`,
+      {
+        service: objective.service,
+        target_percent: objective.targetPercent,
+        latency_ms: objective.latencyMs,
+        window_d: objective.windowDays,
+      },
+    ]);
+  }
+  return rendered;
+};
+
+/**
+ * Renders a configuration as the keys and values of its INI sections. `changed_at` is left out,
+ * since accepting a configuration stamps it. An objective has its service's name in the title,
+ * because the name of its section is not part of the accepted configuration.
+ *
+ * @example
+ * renderConfiguration(configuration).get('service settlement')?.get('slots'); // '10'
+ */
+export const renderConfiguration = ({ mesh, services }: Configuration): RenderedConfiguration => {
+  const dataCentres = mesh.dataCentres.map((dataCentre): [string, Fields] => [
+    `data-centre ${dataCentre.name}`,
+    { region: dataCentre.region, state: dataCentre.state, ramp_s: dataCentre.rampS },
+  ]);
+  const sections = [...[...services.values()].flatMap(renderService), ...dataCentres];
+  return new Map(
+    sections.map(([title, fields]) => [
+      title,
+      new Map(Object.entries(fields).map(([key, value]) => [key, String(value)])),
+    ]),
+  );
+};
--- /dev/null
+++ b/packages/config/src/settings-reader.ts
@@ -0,0 +1,148 @@
+import { readFile } from 'node:fs/promises';
+import type { z } from 'zod';
+import { readIniText } from './ini-lines.js';
+import { refuse, type ConfigProblem, type Origin } from './problems.js';
+import { expectKeyInstead } from './section-values.js';
+import {
+  settingsSchemas,
+  settingsSections,
+  type SettingsSection,
+  type SettingsValues,
+} from './settings-schema.js';
+
+const environmentPrefix = 'SEQUOIAFIELD_';
+
+/** Where settings come from; environment overrides the file, and overrides come last. */
+export interface SettingsSources {
+  /** INI file; without one, environment and overrides must give every required key. */
+  readonly file?: string | undefined;
+  /** Variables `SEQUOIAFIELD_<SECTION>_<KEY>`; others are ignored. */
+  readonly env?: Readonly<Record<string, string | undefined>> | undefined;
+  /** Values of flags by `section.key`, such as `node.gossip_port`. */
+  readonly overrides?: Readonly<Record<string, string | undefined>> | undefined;
+}
+
+interface RawValue extends Origin {
+  readonly value: string;
+}
+
+/** Collects the values of all sources and checks them section by section. */
+export class SettingsReader {
+  readonly #sources: SettingsSources;
+
+  readonly #values = new Map<SettingsSection, Map<string, RawValue>>();
+
+  readonly #problems: ConfigProblem[] = [];
+
+  constructor(sources: SettingsSources) {
+    this.#sources = sources;
+    settingsSections.forEach((section) => this.#values.set(section, new Map()));
+  }
+
+  /** Reads the sources; later ones replace earlier values. */
+  async collect(): Promise<void> {
+    if (this.#sources.file !== undefined) await this.#collectFile(this.#sources.file);
+    this.#collectEnvironment();
+    this.#collectOverrides();
+  }
+
+  /** Whether any source gives a value of the section. */
+  has(section: SettingsSection): boolean {
+    return (this.#values.get(section)?.size ?? 0) > 0;
+  }
+
+  /** Text of a value before its check, if any source gives it. */
+  raw(section: SettingsSection, key: string): string | undefined {
+    return this.#values.get(section)?.get(key)?.value;
+  }
+
+  /** Typed values of a section, or undefined if it has problems. */
+  select<S extends SettingsSection>(section: S): SettingsValues<S> | undefined {
+    const values = this.#values.get(section) ?? new Map<string, RawValue>();
+    const raw = Object.fromEntries([...values].map(([key, { value }]) => [key, value]));
+    const schema = settingsSchemas[section];
+    const result = schema.safeParse(raw);
+    if (result.success) return result.data as SettingsValues<S>;
+    const knownKeys = Object.keys(schema.shape);
+    result.error.issues.forEach((issue) => this.#reportIssue(section, knownKeys, issue));
+    return undefined;
+  }
+
+  /** Adds a problem of a value; a value without a source is reported at the file. */
+  report(section: SettingsSection, key: string, found: string, expected: string): void {
+    const origin = this.#values.get(section)?.get(key) ?? this.#fallbackOrigin();
+    this.#problems.push({ file: origin.file, line: origin.line, found, expected });
+  }
+
+  /** Ends the checks. */
+  throwIfRefused(): void {
+    if (this.#problems.length > 0) throw refuse('the settings', this.#problems);
+  }
+
+  async #collectFile(file: string): Promise<void> {
+    const text = await readFile(file, 'utf8').catch((error: Error) => {
+      const found = `cannot be read (${error.message})`;
+      throw refuse('the settings', [{ file, line: 0, found, expected: 'a readable INI file' }]);
+    });
+    const { sections, problems } = readIniText(text, file);
+    this.#problems.push(...problems);
+    sections.forEach(({ title, line, keys }) => {
+      const values = this.#values.get(title as SettingsSection);
+      if (!values) {
+        const expected = `one of [${settingsSections.join('], [')}]`;
+        this.#problems.push({ file, line, found: `unknown section [${title}]`, expected });
+        return;
+      }
+      keys.forEach((entry) => values.set(entry.key, entry));
+    });
+  }
+
+  #collectEnvironment(): void {
+    Object.entries(this.#sources.env ?? {}).forEach(([name, value]) => {
+      if (value === undefined || !name.startsWith(environmentPrefix)) return;
+      const rest = name.slice(environmentPrefix.length).toLowerCase();
+      const section = settingsSections.find((known) => rest.startsWith(`${known}_`));
+      if (!section) return;
+      const key = rest.slice(section.length + 1);
+      this.#values.get(section)?.set(key, { file: `environment ${name}`, line: 0, value });
+    });
+  }
+
+  #collectOverrides(): void {
+    Object.entries(this.#sources.overrides ?? {}).forEach(([name, value]) => {
+      if (value === undefined) return;
+      const [section = '', key = ''] = name.split('.');
+      const values = this.#values.get(section as SettingsSection);
+      if (values) values.set(key, { file: `override ${name}`, line: 0, value });
+      else {
+        const expected = `SECTION.KEY with one of ${settingsSections.join(', ')}`;
+        this.#problems.push({ file: 'overrides', line: 0, found: name, expected });
+      }
+    });
+  }
+
+  #fallbackOrigin(): Origin {
+    return { file: this.#sources.file ?? 'settings', line: 0 };
+  }
+
+  #reportIssue(
+    section: SettingsSection,
+    knownKeys: readonly string[],
+    issue: z.core.$ZodIssue,
+  ): void {
+    if (issue.code === 'unrecognized_keys') {
+      issue.keys.forEach((key) => {
+        const expected = expectKeyInstead(key, knownKeys);
+        this.report(section, key, `unknown key ${key} of [${section}]`, expected);
+      });
+      return;
+    }
+    const key = String(issue.path[0]);
+    const value = this.raw(section, key);
+    // Error messages end up in logs, where a token must not appear.
+    const shown = key.endsWith('_token') ? 'not valid' : `"${value}"`;
+    const found =
+      value === undefined ? `[${section}] lacks key ${key}` : `${key} of [${section}] is ${shown}`;
+    this.report(section, key, found, issue.message);
+  }
+}
--- /dev/null
+++ b/packages/config/src/settings-values.ts
@@ -0,0 +1,104 @@
+import { BlockList, isIP, isIPv4 } from 'node:net';
+import { iniValue, isName, nameExpectation } from './values.js';
+
+const loopback = new BlockList();
+loopback.addSubnet('127.0.0.0', 8, 'ipv4');
+loopback.addAddress('::1', 'ipv6');
+
+const portMax = 65_535;
+
+/** IP number and port of a process. */
+export interface IpEndpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+/**
+ * Whether an IP number is reachable from the own machine only.
+ *
+ * @example
+ * isLoopback('127.0.0.1'); // true
+ */
+export const isLoopback = (address: string): boolean =>
+  loopback.check(address, isIPv4(address) ? 'ipv4' : 'ipv6');
+
+/**
+ * Schema of an IP number, version 4 or 6; names are not resolved.
+ *
+ * @example
+ * ipAddress().parse('10.0.0.7');
+ */
+export const ipAddress = () =>
+  iniValue('an IP number such as 10.0.0.7', (text) => (isIP(text) ? text : undefined));
+
+/**
+ * Schema of a TCP or UDP port from `min`; 0 lets the system choose a free one.
+ *
+ * @example
+ * port(0).parse('7001'); // 7001
+ */
+export const port = (min: 0 | 1) =>
+  iniValue(`a port from ${min} to ${portMax}`, (text) => {
+    const value = Number(text);
+    return /^\d{1,5}$/.test(text) && value >= min && value <= portMax ? value : undefined;
+  });
+
+const parseEndpoint = (text: string): IpEndpoint | undefined => {
+  const match = /^(?:\[([0-9a-fA-F:.]+)\]|([0-9.]+)):(\d{1,5})$/.exec(text);
+  const address = match?.[1] ?? match?.[2] ?? '';
+  const value = Number(match?.[3]);
+  return isIP(address) && value >= 1 && value <= portMax ? { address, port: value } : undefined;
+};
+
+const splitList = (text: string): string[] =>
+  text
+    .split(',')
+    .map((part) => part.trim())
+    .filter((part) => part !== '');
+
+/**
+ * Schema of a list of `ip:port` (version 6 in brackets), separated by commas; may be empty.
+ *
+ * @example
+ * endpointList().parse('10.0.0.7:7001, [::1]:7001');
+ */
+export const endpointList = () =>
+  iniValue('a list of IP:PORT such as 10.0.0.7:7001, 10.0.0.8:7001', (text) => {
+    const endpoints = splitList(text).map(parseEndpoint);
+    return endpoints.every((endpoint) => endpoint !== undefined) ? endpoints : undefined;
+  });
+
+/**
+ * Schema of a list of names, separated by commas; may be empty.
+ *
+ * @example
+ * nameList().parse('rounds, settlement');
+ */
+export const nameList = () =>
+  iniValue(`a list of names separated by commas, each ${nameExpectation}`, (text) => {
+    const names = splitList(text);
+    return names.every(isName) ? names : undefined;
+  });
+
+/**
+ * Schema of an `http` or `https` URL without path, query or credentials.
+ *
+ * @example
+ * httpUrl().parse('http://127.0.0.1:7070'); // 'http://127.0.0.1:7070'
+ */
+export const httpUrl = () =>
+  iniValue('a URL such as http://10.0.0.5:7070', (text) => {
+    if (!URL.canParse(text)) return undefined;
+    const { protocol, origin, pathname, search, username } = new URL(text);
+    const isPlain = pathname === '/' && search === '' && username === '';
+    return ['http:', 'https:'].includes(protocol) && isPlain ? origin : undefined;
+  });
+
+/**
+ * Schema of a path of a URL.
+ *
+ * @example
+ * urlPath().parse('/health');
+ */
+export const urlPath = () =>
+  iniValue('a path such as /health', (text) => (/^\/[^\s?#]*$/.test(text) ? text : undefined));
