--- /dev/null
+++ b/packages/cli/src/admin-client.ts
@@ -0,0 +1,72 @@
+import { CommandError } from '@sequoiafield/errors';
+import type { FleetAnswer, MoveStatus } from '@sequoiafield/types';
+import { Agent, request } from 'undici';
+
+/** Fleet queries visit every node; the node answers with what it has after a few seconds. */
+const requestTimeoutMs = 15_000;
+
+/** Where the fleet stands with one configuration version. */
+export interface InForceValue {
+  /** Nodes that have this version, or a later one, in force. */
+  readonly inForce: number;
+  /** Ids of nodes with an older version. */
+  readonly lagging: readonly string[];
+}
+
+/** Client of the admin interface of one node. */
+export class AdminClient {
+  readonly #url: string;
+
+  readonly #token: string;
+
+  readonly #agent = new Agent();
+
+  constructor(url: string, token: string) {
+    this.#url = url;
+    this.#token = token;
+  }
+
+  async inForce(configVersion: number): Promise<FleetAnswer<InForceValue>> {
+    const path = `/v1/fleet/in-force?configVersion=${configVersion}`;
+    return (await this.#get(path)) as FleetAnswer<InForceValue>;
+  }
+
+  async moves(): Promise<readonly MoveStatus[]> {
+    return ((await this.#get('/v1/moves')) as { moves: readonly MoveStatus[] }).moves;
+  }
+
+  async burn(): Promise<FleetAnswer<unknown>> {
+    return (await this.#get('/v1/fleet/burn')) as FleetAnswer<unknown>;
+  }
+
+  async state(): Promise<unknown> {
+    return this.#get('/v1/state');
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #get(path: string): Promise<unknown> {
+    const subject = `The node at ${this.#url}`;
+    const answer = await request(new URL(path, this.#url), {
+      dispatcher: this.#agent,
+      signal: AbortSignal.timeout(requestTimeoutMs),
+      headers: this.#token === '' ? {} : { authorization: `Bearer ${this.#token}` },
+    }).catch((error: unknown) => {
+      throw new CommandError(`${subject} did not answer GET ${path}:`, { cause: error });
+    });
+    const text = await answer.body.text();
+    if (answer.statusCode === 401) {
+      throw new CommandError(`${subject} asks for its admin token; give --token`);
+    }
+    if (answer.statusCode !== 200) {
+      throw new CommandError(`${subject} answered status ${answer.statusCode} to GET ${path}`);
+    }
+    try {
+      return JSON.parse(text);
+    } catch (error) {
+      throw new CommandError(`${subject} answered GET ${path} without JSON:`, { cause: error });
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,168 @@
+import { diffConfigurations, formatDifference, loadFolder } from '@sequoiafield/config';
+import {
+  AcceptConflictError,
+  AcceptUnknownError,
+  type AcceptResult,
+  type ConfigRepository,
+} from '@sequoiafield/store';
+import type { MoveIntent } from '@sequoiafield/types';
+import { listChangedMoves } from '../changed-moves.js';
+import type { CommandContext, CommandResult } from '../command-context.js';
+import { ExitStatus, statusOfError } from '../exit-status.js';
+import {
+  addAdminOptions,
+  addStoreOptions,
+  requireAdmin,
+  withStore,
+  type AdminArguments,
+  type StoreArguments,
+} from '../options.js';
+import type { OperatorCommand } from '../run-cli.js';
+import { waitForFleet } from '../wait-for-fleet.js';
+
+interface ApplyArguments extends StoreArguments, AdminArguments {
+  readonly folder: string;
+  readonly wait: boolean;
+  readonly 'timeout-s'?: number | undefined;
+  readonly author?: string | undefined;
+  readonly 'operation-id'?: string | undefined;
+  readonly json: boolean;
+}
+
+interface Accepted {
+  readonly result: AcceptResult;
+  readonly moves: readonly MoveIntent[];
+}
+
+/** Moves that the accepted version changed; without an answer of the store, none are known. */
+const readChangedMoves = async (
+  repository: ConfigRepository,
+  result: AcceptResult,
+): Promise<readonly MoveIntent[]> => {
+  if (result.kind === 'unchanged') return [];
+  const { head } = result;
+  const before = await repository.readHistoryEntry(head.configVersion - 1);
+  return listChangedMoves(await repository.readChange(before, head));
+};
+
+/** Shows what the other operator changed since the version that this one was based on. */
+const describeConflict = async (
+  repository: ConfigRepository,
+  error: InstanceType<typeof AcceptConflictError>,
+): Promise<CommandResult> => {
+  const { currentHead, baseConfigVersion } = error;
+  const readDifferences = async () => {
+    if (!currentHead) return [];
+    const base =
+      baseConfigVersion > 0 ? await repository.readHistoryEntry(baseConfigVersion) : undefined;
+    const { before, after } = await repository.readChange(base, currentHead);
+    return diffConfigurations(before, after);
+  };
+  const differences = await readDifferences().catch(() => undefined);
+  const shown = differences?.map(formatDifference) ?? ['The other change could not be read'];
+  return {
+    status: ExitStatus.Conflict,
+    data: { error: error.message, baseConfigVersion, currentHead, differences },
+    lines: [error.message, 'The other change:', ...shown],
+  };
+};
+
+const describeUnknown = (error: InstanceType<typeof AcceptUnknownError>): CommandResult => ({
+  status: statusOfError(error),
+  data: {
+    error: error.message,
+    operationId: error.operationId,
+    configVersion: error.configVersion,
+  },
+  lines: error.message.split('\n'),
+});
+
+const describeAccepted = (result: AcceptResult): CommandResult => {
+  const { configVersion, operationId, author } = result.head;
+  if (result.kind === 'unchanged') {
+    return {
+      status: ExitStatus.Success,
+      data: { isChanged: false, configVersion },
+      lines: [`Nothing to change; version ${configVersion} is accepted already`],
+    };
+  }
+  const sections = result.changedSections;
+  return {
+    status: ExitStatus.Success,
+    data: {
+      isChanged: true,
+      configVersion,
+      operationId,
+      author,
+      changedSections: sections,
+      isHistoryWritten: result.isHistoryWritten,
+    },
+    lines: [
+      `Accepted version ${configVersion} (operation ${operationId}); changed sections: ${sections.join(', ')}`,
+      ...(result.isHistoryWritten
+        ? []
+        : ['The history entry is not written yet; the next apply adds it']),
+    ],
+  };
+};
+
+const accept = async (
+  args: ApplyArguments,
+  context: CommandContext,
+): Promise<Accepted | CommandResult> => {
+  const { configuration } = await loadFolder(args.folder);
+  const request = {
+    configuration,
+    author: args.author ?? context.userName(),
+    operationId: args['operation-id'] ?? context.newOperationId(),
+  };
+  return withStore(context, args, async (repository) => {
+    try {
+      const result = await repository.accept(request);
+      const moves = args.wait ? await readChangedMoves(repository, result).catch(() => []) : [];
+      return { result, moves };
+    } catch (error) {
+      if (error instanceof AcceptConflictError) return describeConflict(repository, error);
+      if (error instanceof AcceptUnknownError) return describeUnknown(error);
+      throw error;
+    }
+  });
+};
+
+/** `apply FOLDER`: makes a folder the accepted configuration. */
+export const applyCommand: OperatorCommand<ApplyArguments> = {
+  command: 'apply <folder>',
+  describe: 'Accept a configuration folder as the next version',
+  builder: (yargs) =>
+    addAdminOptions(addStoreOptions(yargs))
+      .positional('folder', { type: 'string', demandOption: true, describe: 'Folder' })
+      .option('wait', {
+        type: 'boolean',
+        default: false,
+        describe: 'Wait until it is in force on every node and its moves are decided',
+      })
+      .option('timeout-s', { type: 'number', describe: 'Longest wait in seconds' })
+      .option('author', { type: 'string', describe: 'Name for the history (else the user)' })
+      .option('operation-id', {
+        type: 'string',
+        describe: 'Id of this operation (else a new one); the same id is accepted only once',
+      })
+      .option('json', { type: 'boolean', default: false, describe: 'Print one JSON object' }),
+  run: async (args, context) => {
+    // Checked before anything is written, so that a forgotten --admin does not end as "failed".
+    if (args.wait) requireAdmin(context, args);
+    const accepted = await accept(args, context);
+    if ('status' in accepted) return accepted;
+    const described = describeAccepted(accepted.result);
+    if (!args.wait) return described;
+    const waited = await waitForFleet(context, args, {
+      configVersion: accepted.result.head.configVersion,
+      moves: accepted.moves,
+    });
+    return {
+      status: waited.status,
+      data: { ...described.data, ...waited.data },
+      lines: [...described.lines, ...waited.lines],
+    };
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/diff.ts
@@ -0,0 +1,79 @@
+import {
+  buildManifest,
+  diffConfigurations,
+  formatDifference,
+  loadFolder,
+  toSections,
+} from '@sequoiafield/config';
+import { listChangedSections, type ConfigRepository } from '@sequoiafield/store';
+import type { Configuration } from '@sequoiafield/types';
+import { ExitStatus } from '../exit-status.js';
+import { addStoreOptions, withStore, type StoreArguments } from '../options.js';
+import type { OperatorCommand } from '../run-cli.js';
+
+interface DiffArguments extends StoreArguments {
+  readonly folder: string;
+  readonly against?: string | undefined;
+}
+
+interface Before {
+  /** What the folder is compared with, for the output. */
+  readonly name: string;
+  readonly configuration: Configuration | undefined;
+  /** The folder's configuration, reduced to the sections that were compared. */
+  readonly after: Configuration;
+}
+
+/** Reads the accepted sections that differ from the folder's; equal ones are not fetched. */
+const readAccepted = async (
+  repository: ConfigRepository,
+  after: Configuration,
+): Promise<Before> => {
+  const head = await repository.readHead();
+  if (!head) return { name: 'nothing accepted yet', configuration: undefined, after };
+  const { configVersion, manifestDigest } = head.record;
+  const accepted = await repository.readManifest(manifestDigest);
+  const { manifest } = buildManifest(configVersion, toSections(after));
+  const changed = new Set(listChangedSections(accepted, manifest));
+  // Section mesh is always compared: it is reduced to nothing if its name is left out.
+  changed.add('mesh');
+  const services = new Map([...after.services].filter(([name]) => changed.has(name)));
+  return {
+    name: `version ${configVersion}`,
+    configuration: await repository.readSections(accepted, [...changed]),
+    after: { mesh: after.mesh, services },
+  };
+};
+
+/** `diff FOLDER`: compares a folder with the accepted configuration or with another folder. */
+export const diffCommand: OperatorCommand<DiffArguments> = {
+  command: 'diff <folder>',
+  describe: 'Show what applying a folder would change, with the file of each value',
+  builder: (yargs) =>
+    addStoreOptions(yargs)
+      .positional('folder', { type: 'string', demandOption: true, describe: 'Folder' })
+      .option('against', {
+        type: 'string',
+        describe: 'Compare with this folder instead of the accepted configuration',
+      }),
+  run: async (args, context) => {
+    const folder = await loadFolder(args.folder);
+    const before: Before =
+      args.against === undefined
+        ? await withStore(context, args, (repository) =>
+            readAccepted(repository, folder.configuration),
+          )
+        : {
+            name: `folder ${args.against}`,
+            configuration: (await loadFolder(args.against)).configuration,
+            after: folder.configuration,
+          };
+    const differences = diffConfigurations(before.configuration, before.after, folder);
+    const summary = `${differences.length} keys differ from ${before.name}`;
+    return {
+      status: ExitStatus.Success,
+      data: { against: before.name, differences },
+      lines: [...differences.map(formatDifference), summary],
+    };
+  },
+};
--- /dev/null
+++ b/packages/cli/src/exit-status.ts
@@ -0,0 +1,34 @@
+import { ConfigDataError, ConfigRefusedError } from '@sequoiafield/config';
+import { CommandError, StoreError } from '@sequoiafield/errors';
+import { AcceptConflictError } from '@sequoiafield/store';
+
+/** Exit status of the command. */
+export enum ExitStatus {
+  Success = 0,
+  /** Failed, timed out, or a move was taken back. */
+  Failed = 1,
+  /** The input was refused; nothing was written. */
+  Refused = 2,
+  /** Another operator's configuration was accepted first. */
+  Conflict = 3,
+  /** The store is unavailable, or whether it wrote is unknown. */
+  StoreUnavailable = 4,
+}
+
+/** The command line lacks something or has a wrong value. */
+export const UsageError = CommandError.subclass('UsageError');
+
+/**
+ * Exit status of an error that ended a command.
+ *
+ * @example
+ * process.exitCode = statusOfError(error);
+ */
+export const statusOfError = (error: unknown): ExitStatus => {
+  if (error instanceof ConfigRefusedError || error instanceof UsageError) return ExitStatus.Refused;
+  if (error instanceof AcceptConflictError) return ExitStatus.Conflict;
+  if (error instanceof StoreError || error instanceof ConfigDataError) {
+    return ExitStatus.StoreUnavailable;
+  }
+  return ExitStatus.Failed;
+};
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,9 +1,11 @@
-import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { addOperatorCommands } from './commands/index.js';
+import { ProcessContext } from './process-context.js';
+import { CommandLine } from './run-cli.js';
 
-yargs(hideBin(process.argv))
-  .scriptName('sequoiafield')
-  .version('0.1.0')
-  .strict()
-  .demandCommand(1)
-  .parse();
+// Commands that run as a process, such as `node`, are added here with `addPlain`.
+const commandLine = addOperatorCommands(new CommandLine(new ProcessContext()));
+
+commandLine.run(hideBin(process.argv)).then((status) => {
+  process.exitCode = status;
+});
--- /dev/null
+++ b/packages/cli/src/options.ts
@@ -0,0 +1,127 @@
+import { loadStoreSettings } from '@sequoiafield/config';
+import { ConfigRepository } from '@sequoiafield/store';
+import type { Argv } from 'yargs';
+import { AdminClient } from './admin-client.js';
+import type { CommandContext } from './command-context.js';
+import { UsageError } from './exit-status.js';
+
+/** Options of commands that use the store. */
+export interface StoreArguments {
+  readonly store?: string | undefined;
+  readonly settings?: string | undefined;
+}
+
+/** Options of commands that ask a node. */
+export interface AdminArguments {
+  readonly admin?: string | undefined;
+  readonly token?: string | undefined;
+}
+
+/**
+ * Adds `--store` and `--settings`.
+ *
+ * @example
+ * builder: (yargs) => addStoreOptions(yargs),
+ */
+export const addStoreOptions = <T>(yargs: Argv<T>) =>
+  yargs
+    .option('store', {
+      type: 'string',
+      describe: 'URL of the store (else SEQUOIAFIELD_STORE_URL or --settings)',
+    })
+    .option('settings', { type: 'string', describe: 'INI file with a section [store]' });
+
+/**
+ * Adds `--admin` and `--token`.
+ *
+ * @example
+ * builder: (yargs) => addAdminOptions(yargs),
+ */
+export const addAdminOptions = <T>(yargs: Argv<T>) =>
+  yargs
+    .option('admin', {
+      type: 'string',
+      describe: 'Admin URL of any node (else SEQUOIAFIELD_ADMIN_URL)',
+    })
+    .option('token', {
+      type: 'string',
+      describe: 'Admin token of the node (else SEQUOIAFIELD_NODE_ADMIN_TOKEN)',
+    });
+
+/**
+ * Runs a step with the store and closes the connection after it.
+ *
+ * @example
+ * const head = await withStore(context, args, (repository) => repository.readHead());
+ * @throws UsageError if no source names a store, ConfigRefusedError if its URL is wrong.
+ */
+export const withStore = async <T>(
+  context: CommandContext,
+  args: StoreArguments,
+  run: (repository: ConfigRepository) => Promise<T>,
+): Promise<T> => {
+  const settings = await loadStoreSettings({
+    file: args.settings,
+    env: context.env,
+    overrides: { 'store.url': args.store },
+  });
+  if (!settings) {
+    throw new UsageError('No store is named; give --store URL or set SEQUOIAFIELD_STORE_URL');
+  }
+  const connection = context.connectStore(settings);
+  try {
+    return await run(new ConfigRepository(connection.store));
+  } finally {
+    await connection.close();
+  }
+};
+
+/** Admin URL from the flag or the environment, if any. */
+const adminUrl = (context: CommandContext, args: AdminArguments): string | undefined =>
+  args.admin ?? context.env.SEQUOIAFIELD_ADMIN_URL;
+
+/**
+ * Whether a node to ask is named.
+ *
+ * @example
+ * if (hasAdmin(context, args)) await withAdmin(context, args, ask);
+ */
+export const hasAdmin = (context: CommandContext, args: AdminArguments): boolean =>
+  adminUrl(context, args) !== undefined;
+
+/**
+ * The admin URL that the flag or the environment names.
+ *
+ * @example
+ * const url = requireAdmin(context, args);
+ * @throws UsageError if none is named or it is not a URL.
+ */
+export const requireAdmin = (context: CommandContext, args: AdminArguments): string => {
+  const url = adminUrl(context, args);
+  if (url === undefined) {
+    throw new UsageError('No node is named; give --admin URL or set SEQUOIAFIELD_ADMIN_URL');
+  }
+  if (URL.canParse(url)) return url;
+  throw new UsageError(`Admin URL "${url}" is not a URL such as http://127.0.0.1:7003`);
+};
+
+/**
+ * Runs a step with the admin interface of one node and closes the connection after it.
+ *
+ * @example
+ * const moves = await withAdmin(context, args, (admin) => admin.moves());
+ * @throws UsageError if no source names a node or the URL is wrong.
+ */
+export const withAdmin = async <T>(
+  context: CommandContext,
+  args: AdminArguments,
+  run: (admin: AdminClient) => Promise<T>,
+): Promise<T> => {
+  const token = args.token ?? context.env.SEQUOIAFIELD_NODE_ADMIN_TOKEN ?? '';
+  const admin = new AdminClient(requireAdmin(context, args), token);
+  try {
+    return await run(admin);
+  } finally {
+    await admin.close();
+  }
+};
--- /dev/null
+++ b/packages/cli/src/progress-line.ts
@@ -0,0 +1,21 @@
+import type { CommandContext } from './command-context.js';
+
+/** Shows progress in one line of the terminal; nothing if there is no terminal. */
+export class ProgressLine {
+  readonly #context: CommandContext;
+
+  readonly #isShown: boolean;
+
+  constructor(context: CommandContext, isJson: boolean) {
+    this.#context = context;
+    this.#isShown = context.isTerminal && !isJson;
+  }
+
+  show(text: string): void {
+    if (this.#isShown) this.#context.writeError(`\r\u001b[K${text}`);
+  }
+
+  clear(): void {
+    if (this.#isShown) this.#context.writeError('\r\u001b[K');
+  }
+}
--- a/packages/store/src/accept-operation.ts
+++ b/packages/store/src/accept-operation.ts
@@ -8,7 +8,7 @@
 } from '@sequoiafield/config';
 import { wallNowUnixMs } from '@sequoiafield/tables';
 import type { Configuration, HeadRecord, Manifest, MeshSection } from '@sequoiafield/types';
-import type { ConfigReader, ReadHead } from './config-reader.js';
+import { listChangedSections, type ConfigReader, type ReadHead } from './config-reader.js';
 import { AcceptConflictError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
 import { HeadSettlement } from './head-settlement.js';
 import { mapInBatches } from './in-batches.js';
@@ -44,12 +44,6 @@
   readonly mesh: MeshSection | undefined;
 }
 
-const listChangedSections = (before: Manifest | undefined, after: Manifest): string[] => {
-  const old = before?.sections ?? {};
-  const names = new Set([...Object.keys(old), ...Object.keys(after.sections)]);
-  return [...names].filter((name) => old[name] !== after.sections[name]).sort();
-};
-
 /** One run of `accept`: reads the head, writes sections and manifest, swaps the head once. */
 export class AcceptOperation {
   readonly #store: PlatformStore;
--- a/packages/store/src/config-reader.ts
+++ b/packages/store/src/config-reader.ts
@@ -24,6 +24,27 @@
   readonly revision: number;
 }
 
+/** Two configurations, reduced to the sections that differ. */
+export interface ConfigChange {
+  readonly before: Configuration | undefined;
+  readonly after: Configuration;
+}
+
+/**
+ * Names of the sections whose digests differ, including new and removed ones, sorted.
+ *
+ * @example
+ * listChangedSections(accepted, buildManifest(8, toSections(configuration)).manifest);
+ */
+export const listChangedSections = (
+  before: Manifest | undefined,
+  after: Manifest,
+): readonly string[] => {
+  const old = before?.sections ?? {};
+  const names = new Set([...Object.keys(old), ...Object.keys(after.sections)]);
+  return [...names].filter((name) => old[name] !== after.sections[name]).sort();
+};
+
 /** Most history entries that one call reads. */
 export const historyReadMax = 100;
 
@@ -67,7 +88,19 @@
   /** The whole configuration of a head. One call, and one per section. */
   async readConfiguration(head: HeadRecord): Promise<Configuration> {
     const manifest = await this.readManifest(head.manifestDigest);
-    const bodies = await mapInBatches(Object.entries(manifest.sections), ([name, digest]) =>
+    return this.readSections(manifest, Object.keys(manifest.sections));
+  }
+
+  /**
+   * Some sections of a manifest as a configuration; names that it lacks are left out, and without
+   * section `mesh` the mesh is empty. One call per section.
+   */
+  async readSections(manifest: Manifest, names: readonly string[]): Promise<Configuration> {
+    const present = names.flatMap((name) => {
+      const digest = manifest.sections[name];
+      return digest === undefined ? [] : [{ name, digest }];
+    });
+    const bodies = await mapInBatches(present, ({ name, digest }) =>
       this.readSection(name, digest),
     );
     let mesh: MeshSection = { dataCentres: [], routeIndex: [] };
@@ -80,6 +113,20 @@
     return { mesh, services };
   }
 
+  /**
+   * What changed from one head to another: both configurations, reduced to the sections whose
+   * digests differ. Two calls, and at most two per changed section.
+   */
+  async readChange(before: HeadRecord | undefined, after: HeadRecord): Promise<ConfigChange> {
+    const oldManifest = before && (await this.readManifest(before.manifestDigest));
+    const manifest = await this.readManifest(after.manifestDigest);
+    const names = listChangedSections(oldManifest, manifest);
+    return {
+      before: oldManifest && (await this.readSections(oldManifest, names)),
+      after: await this.readSections(manifest, names),
+    };
+  }
+
   /** One history entry, or undefined if it was never written. One call. */
   async readHistoryEntry(configVersion: number): Promise<HeadRecord | undefined> {
     const entry = await this.#store.get(storeKeys.history(configVersion));
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,5 +1,11 @@
 export type { AcceptRequest, AcceptResult } from './accept-operation.js';
-export { ConfigReader, historyReadMax, type ReadHead } from './config-reader.js';
+export {
+  ConfigReader,
+  historyReadMax,
+  listChangedSections,
+  type ConfigChange,
+  type ReadHead,
+} from './config-reader.js';
 export { ConfigRepository, verdictRank, type ReadSeeds } from './config-repository.js';
 export {
   AcceptConflictError,
--- a/packages/store/src/stamp-data-centres.ts
+++ b/packages/store/src/stamp-data-centres.ts
@@ -27,8 +27,9 @@
   acceptedMesh: MeshSection | undefined,
   nowUnixMs: number,
 ): Configuration => {
-  if (!acceptedMesh) return configuration;
-  const acceptedByName = new Map(acceptedMesh.dataCentres.map((entry) => [entry.name, entry]));
+  const acceptedByName = new Map(
+    (acceptedMesh ?? configuration.mesh).dataCentres.map((entry) => [entry.name, entry]),
+  );
   const dataCentres = configuration.mesh.dataCentres.map((wanted) =>
     stamp(wanted, acceptedByName.get(wanted.name), nowUnixMs),
   );
