Test the checks of folders, bodies and settings

Cause: each refusal of bad input is a promise to operators. A repeated route is reported in the later file, and messages of wrong bodies name the path of the value.

--- a/packages/config/src/diff.ts
+++ b/packages/config/src/diff.ts
@@ -77,7 +77,8 @@
 export const formatDifference = (difference: KeyDifference): string => {
   const { section, key, before, after, origin, overridden } = difference;
   const place = `[${section}] ${key}`;
-  const overrides = overridden.length > 0 ? `, overrides ${overridden.map(formatOrigin)}` : '';
+  const overrides =
+    overridden.length > 0 ? `, overrides ${overridden.map(formatOrigin).join(', ')}` : '';
   const source = origin ? ` (${formatOrigin(origin)}${overrides})` : '';
   if (before === undefined) return `+ ${place} = ${after}${source}`;
   if (after === undefined) return `- ${place} = ${before}`;
--- a/packages/config/src/folder-checks.ts
+++ b/packages/config/src/folder-checks.ts
@@ -1,5 +1,5 @@
 import type { SectionKind } from './folder-schema.js';
-import { formatOrigin, type ConfigProblem } from './problems.js';
+import { compareOrigins, formatOrigin, type ConfigProblem } from './problems.js';
 import { originOf, type MergedSection } from './merged-folder.js';
 import type { TypedSection, TypedSections } from './section-values.js';
 import { isName } from './values.js';
@@ -41,7 +41,10 @@
   describe: (section: TypedSection<K>) => string,
 ): ConfigProblem[] => {
   const firstByClaim = new Map<string, TypedSection<K>>();
-  return sections.flatMap((section) => {
+  const inFileOrder = [...sections].sort((left, right) =>
+    compareOrigins(originOf(left.merged, atKey), originOf(right.merged, atKey)),
+  );
+  return inFileOrder.flatMap((section) => {
     const claim = describe(section);
     const first = firstByClaim.get(claim);
     if (!first) {
--- /dev/null
+++ b/packages/config/src/load-folder.test.ts
@@ -0,0 +1,191 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { matchSnapshot } from '@sequoiafield/test-kit';
+import {
+  ConfigRefusedError,
+  diffConfigurations,
+  formatDifference,
+  loadFiles,
+  loadFolder,
+} from './index.js';
+
+const base = `[service settlement]
+priority = critical ; before lookups
+stable_version = v1
+slots = 10
+connections_max = 130
+failure_limit_percent = 2
+latency_limit_ms = 250
+
+[route settle]
+service = settlement
+method = POST
+path = /settle/*
+idempotent = no
+deadline_ms = 2000
+retry_budget_percent = 10
+
+[data-centre ath-1]
+region = hellas
+state = in
+ramp_s = 30
+
+[move settlement-v2]
+service = settlement
+from = v1
+to = v2
+start_at = 2026-12-04T10:00:00Z
+finish_by = 2026-12-04T10:10:00Z
+unproven_cap_percent = 5
+
+[objective settlement]
+service = settlement
+target_percent = 99.9
+latency_ms = 300
+window_d = 30
+`;
+
+const move = (name: string, from: string, to: string, start: string, finish: string): string =>
+  `[move ${name}]\nservice = settlement\nfrom = ${from}\nto = ${to}\n` +
+  `start_at = 2026-12-04T${start}Z\nfinish_by = 2026-12-04T${finish}Z\nunproven_cap_percent = 5\n`;
+
+/** Text of a second file, by what must be refused in it. */
+const refusedSecondFiles: Readonly<Record<string, string>> = {
+  'unknown section': '[sevice settlement]\nslots = 1',
+  'section without a name': '[service]\nslots = 1',
+  'name that is not valid': '[service Settle/ment]',
+  'service named like the shared section': '[service mesh]',
+  'unknown key': '[service settlement]\nslot = 1',
+  'known key with another unit': '[service settlement]\nlatency_limit_s = 1',
+  'value with a unit': '[service settlement]\nlatency_limit_ms = 250ms',
+  'number out of range': '[service settlement]\nslots = 0',
+  'fraction for a whole number': '[service settlement]\nslots = 1.5',
+  'percentage above 100': '[service settlement]\nfailure_limit_percent = 100.5',
+  'word that is not a choice': '[data-centre ath-1]\nstate = maybe',
+  'truth value in another form': '[route settle]\nidempotent = true',
+  'method in lower case': '[route settle]\nmethod = post',
+  'path with a star inside': '[route settle]\npath = /a/*/b',
+  'time without a zone': '[move settlement-v2]\nstart_at = 2026-12-04T10:00:00',
+  'day that does not exist': '[move settlement-v2]\nstart_at = 2026-02-30T10:00:00Z',
+  'missing keys': '[data-centre ath-2]\nregion = hellas',
+  'dangling references': '[route settle]\nservice = settlment\n[objective settlement]\nservice = x',
+  'dangling reference beside another wrong value':
+    '[route settle]\nservice = settlment\ndeadline_ms = soon',
+  'section twice in one file':
+    '[service settlement]\nslots = 1\n\n[service  settlement]\nslots = 2',
+  'key twice in one file': '[service settlement]\nslots = 1\nslots = 2',
+  'key before any section': 'slots = 1',
+  'line that is no key': '[service settlement]\nslots',
+  'header that is not closed': '[service settlement\nslots = 1',
+  'same method and path twice':
+    '[route other]\nservice = settlement\nmethod = POST\npath = /settle/*\nidempotent = no\n' +
+    'deadline_ms = 1\nretry_budget_percent = 0',
+  'two objectives of a service':
+    '[objective other]\nservice = settlement\ntarget_percent = 99\nlatency_ms = 1\nwindow_d = 7',
+  'move to the same version': '[move settlement-v2]\nto = v1',
+  'move that ends before its start': '[move settlement-v2]\nfinish_by = 2026-12-04T09:00:00Z',
+  'move of versions that the service does not have': '[service settlement]\nstable_version = v7',
+  'overlapping moves of a service': move('settlement-v3', 'v2', 'v3', '10:09:59', '10:20:00'),
+  'move that starts from a version where none ends': move(
+    'settlement-v4',
+    'v3',
+    'v4',
+    '11:00:00',
+    '11:10:00',
+  ),
+};
+
+const messageOf = (run: () => unknown): string => {
+  try {
+    run();
+  } catch (error) {
+    if (error instanceof ConfigRefusedError) return error.message;
+    throw error;
+  }
+  return 'accepted';
+};
+
+const load = (second: string) =>
+  loadFiles('conf', [
+    { name: '10-base.ini', text: base },
+    { name: '20-second.ini', text: second },
+  ]);
+
+for (const [name, second] of Object.entries(refusedSecondFiles)) {
+  test(`a folder is refused: ${name}`, () => {
+    // Guards against input errors that reach nodes, and messages without file, line or expectation.
+    matchSnapshot(
+      import.meta.filename,
+      name,
+      messageOf(() => load(second)),
+    );
+  });
+}
+
+test('every problem of every file is listed, not only the first', () => {
+  // Guards against operators who fix one error per run.
+  const second = '[service settlement]\nslots = many\nspeed = 3\n[route settle]\npath = nowhere';
+  const files = [
+    { name: '20-second.ini', text: second },
+    { name: '10-base.ini', text: `stray = 1\n${base}[oops]\n` },
+  ];
+  matchSnapshot(
+    import.meta.filename,
+    'all problems',
+    messageOf(() => loadFiles('conf', files)),
+  );
+});
+
+test('an empty folder and an unreadable one are refused', async () => {
+  // Guards against a wrong path that would remove every service of the fleet.
+  const folder = await mkdtemp(join(tmpdir(), 'sequoiafield-'));
+  try {
+    await writeFile(join(folder, 'notes.txt'), base);
+    await assert.rejects(loadFolder(folder), /no section; expected a folder with at least one/);
+    await assert.rejects(loadFolder(join(folder, 'absent')), /expected a readable folder/);
+    await writeFile(join(folder, '10.ini'), base);
+    assert.equal((await loadFolder(folder)).configuration.services.size, 1);
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+});
+
+test('later files override keys, whatever the order of reading', () => {
+  // Guards against a merge that depends on the order of the directory.
+  const second = '[service settlement]\nslots = 12\npriority = "low"';
+  const third = '[service settlement]\nslots = 14\n[data-centre ath-1]\nstate = out';
+  const files = [
+    { name: '30-third.ini', text: third },
+    { name: '10-base.ini', text: base.replaceAll('\n', '\r\n') },
+    { name: '20-second.ini', text: second },
+  ];
+  const folder = loadFiles('conf', files);
+  const { mesh, services } = folder.configuration;
+  matchSnapshot(import.meta.filename, 'merged', { mesh, services: [...services] });
+  const before = loadFiles('conf', [{ name: '10-base.ini', text: base }]).configuration;
+  const differences = diffConfigurations(before, folder.configuration, folder);
+  matchSnapshot(import.meta.filename, 'diff', differences.map(formatDifference).join('\n'));
+});
+
+test('diff shows new and removed sections with the origin of new values', () => {
+  // Guards against removals that an operator does not see before apply.
+  const other = base.replaceAll('settle]', 'pay]').replace(/\[objective[^]*$/, '');
+  const folder = loadFiles('conf', [{ name: '10-base.ini', text: other }]);
+  const before = load('').configuration;
+  const lines = diffConfigurations(before, folder.configuration, folder).map(formatDifference);
+  matchSnapshot(import.meta.filename, 'sections that come and go', lines.join('\n'));
+});
+
+test('moves may follow each other, also after one that was taken back', () => {
+  // Guards against checks that refuse the usual sequence of moves.
+  const after = move('settlement-v3', 'v2', 'v3', '10:10:00', '10:20:00');
+  const afterTakenBack = move('settlement-v3', 'v1', 'v3', '10:10:00', '10:20:00');
+  const done = `[service settlement]\nstable_version = v3\n${after}`;
+  assert.deepEqual(
+    [after, afterTakenBack, done].map((second) => messageOf(() => load(second))),
+    ['accepted', 'accepted', 'accepted'],
+  );
+});
--- a/packages/config/src/parse-bodies.ts
+++ b/packages/config/src/parse-bodies.ts
@@ -6,7 +6,7 @@
   ServiceSection,
   VerdictRecord,
 } from '@sequoiafield/types';
-import { z } from 'zod';
+import type { z } from 'zod';
 import {
   headSchema,
   manifestSchema,
@@ -35,9 +35,10 @@
 const checkForm = <T>(subject: string, schema: z.ZodType<T>, value: unknown): T => {
   const result = schema.safeParse(value);
   if (result.success) return result.data;
-  throw new ConfigDataError(
-    `${subject} has the wrong form: ${z.prettifyError(result.error).replaceAll('\n', ' ')}`,
+  const issues = result.error.issues.map(
+    ({ path, message }) => `${path.join('.') || 'body'}: ${message}`,
   );
+  throw new ConfigDataError(`${subject} has the wrong form; ${issues.join('; ')}`);
 };
 
 const checkDigest = (subject: string, body: string, expectedDigest: string | undefined): void => {
--- a/packages/config/src/problems.ts
+++ b/packages/config/src/problems.ts
@@ -43,7 +43,13 @@
 /** A section, manifest or head from a peer or the store does not have the expected form. */
 export const ConfigDataError = ConfigError.subclass('ConfigDataError');
 
-const compareProblems = (left: ConfigProblem, right: ConfigProblem): number => {
+/**
+ * Order of places: by file name, then by line.
+ *
+ * @example
+ * problems.sort(compareOrigins);
+ */
+export const compareOrigins = (left: Origin, right: Origin): number => {
   if (left.file !== right.file) return left.file < right.file ? -1 : 1;
   return left.line - right.line;
 };
@@ -58,7 +64,7 @@
   subject: string,
   problems: readonly ConfigProblem[],
 ): InstanceType<typeof ConfigRefusedError> => {
-  const sorted = [...problems].sort(compareProblems);
+  const sorted = [...problems].sort(compareOrigins);
   const lines = sorted.map(formatProblem);
   return new ConfigRefusedError([`Refused ${subject}`, ...lines].join('\n'), {
     props: { problems: sorted },
