Test accept, verdicts and the HTTP adaptor under faults

Cause: lost answers, outages and races must never leave an operator with a wrong answer or the fleet with a reverted head. Change: MemoryStore with faults by call, a table of six faults at each of the nine steps of accept, seeded races of operators and of verdicts, and tests of the adaptor against the store stand-in.

--- a/packages/cli/src/command-context.ts
+++ b/packages/cli/src/command-context.ts
@@ -8,6 +8,8 @@
   /** Fields of the JSON object; they carry their unit as suffix. */
   readonly data: Readonly<Record<string, unknown>>;
   readonly lines: readonly string[];
+  /** True if the lines are output worth piping although the status is not success. */
+  readonly hasPartialOutput?: boolean;
 }
 
 /** Store connection of one command. */
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -76,6 +76,15 @@
   }
 };
 
+/**
+ * Whether a store is named by flag, environment or settings file.
+ *
+ * @example
+ * if (hasStore(context, args)) await withStore(context, args, read);
+ */
+export const hasStore = (context: CommandContext, args: StoreArguments): boolean =>
+  (args.store ?? args.settings ?? context.env.SEQUOIAFIELD_STORE_URL) !== undefined;
+
 /** Admin URL from the flag or the environment, if any. */
 const adminUrl = (context: CommandContext, args: AdminArguments): string | undefined =>
   args.admin ?? context.env.SEQUOIAFIELD_ADMIN_URL;
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -33,7 +33,7 @@
     return;
   }
   const text = result.lines.map((line) => `${line}\n`).join('');
-  if (result.status === ExitStatus.Success) context.writeOut(text);
+  if (result.status === ExitStatus.Success || result.hasPartialOutput) context.writeOut(text);
   else context.writeError(text);
 };
 
--- /dev/null
+++ b/packages/stand-ins/src/store/store-server.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { after, before, beforeEach, test } from 'node:test';
+import { HttpStore } from '@sequoiafield/store';
+import { matchSnapshot } from '@sequoiafield/test-kit';
+import { FaultEffect, FaultOperation, StoreServer, type FaultRule } from './index.js';
+
+// Only requests that are never answered in time use the short limit, so that a busy machine does
+// not change a result.
+const longTimeoutMs = 20_000;
+const shortTimeoutMs = 300;
+let server: StoreServer;
+let store: HttpStore;
+let hastyStore: HttpStore;
+
+before(async () => {
+  server = new StoreServer();
+  const url = await server.listen('127.0.0.1', 0);
+  store = new HttpStore({ url, timeoutMs: longTimeoutMs });
+  hastyStore = new HttpStore({ url, timeoutMs: shortTimeoutMs });
+});
+after(async () => {
+  await hastyStore.close();
+  await store.close();
+  await server.close();
+});
+beforeEach(() => server.faults.replace([]));
+
+const nameOf = (result: Promise<unknown>): Promise<string> =>
+  result.then(
+    (value) => JSON.stringify(value),
+    (error: Error) => error.name,
+  );
+
+const rule = (effect: FaultEffect, keyPrefix: string): FaultRule => ({
+  effect,
+  operation: FaultOperation.Any,
+  keyPrefix,
+  delayMs: 5 * shortTimeoutMs,
+  remaining: 2,
+});
+
+test('compare-and-swap, leases and watches over HTTP', async () => {
+  // Guards against an adaptor and a stand-in that disagree about the protocol.
+  const key = 'sequoiafield/a key/ü';
+  const value = '{"text":"\\u0000 ü"}';
+  const watched = store.watch(key, 0, 2000);
+  const results = {
+    absent: await store.get(key),
+    wrongRevision: await store.compareAndSwap(key, 7, value),
+    written: await store.compareAndSwap(key, 0, value),
+    conflict: await store.compareAndSwap(key, 0, 'other'),
+    read: await store.get(key),
+    watched: await watched,
+    nothingNewer: await store.watch(key, 1, 20),
+    lease: await store.grantLease(1000),
+    held: await store.keepLease('lease-1'),
+    lapsed: await store.keepLease('lease-9'),
+    tooLarge: await nameOf(store.compareAndSwap('big', 0, 'x'.repeat(1024 * 1024 + 1))),
+    counters: server.counters,
+  };
+  matchSnapshot(import.meta.filename, 'protocol', results);
+});
+
+test('each fault separates "not written" from "outcome unknown" truly', async () => {
+  // Guards against "not written" for a write that took effect.
+  const rows: string[] = [];
+  for (const effect of Object.values(FaultEffect)) {
+    if (effect === FaultEffect.Delay) continue;
+    const client = effect === FaultEffect.Hang ? hastyStore : store;
+    const key = `fault/${effect}`;
+    server.faults.replace([rule(effect, key)]);
+    const write = await nameOf(client.compareAndSwap(key, 0, 'value'));
+    const read = await nameOf(client.get(key));
+    const isWritten = server.table.get(key) !== undefined;
+    if (write === 'StoreNotWrittenError') assert.equal(isWritten, false);
+    rows.push(`${effect}: write ${write}, read ${read}, written ${isWritten}`);
+  }
+  matchSnapshot(import.meta.filename, 'faults', rows.join('\n'));
+});
+
+test('a delayed write takes effect although the client has given up', async () => {
+  // Guards against a stand-in without the case in which a lost request arrives later.
+  server.faults.replace([rule(FaultEffect.Delay, 'late')]);
+  const write = hastyStore.compareAndSwap('late', 0, 'v');
+  assert.equal(await nameOf(write), 'StoreOutcomeUnknownError');
+  const entry = await server.table.watch('late', 0, longTimeoutMs);
+  assert.equal(entry?.value, 'v');
+});
+
+test('a store that does not listen, and a 404 of another server, are failures', async () => {
+  // Guards against an empty store read from a wrong address, which would restart at version 1.
+  const gone = new StoreServer();
+  const url = await gone.listen('127.0.0.1', 0);
+  await gone.close();
+  const unreachable = new HttpStore({ url, timeoutMs: longTimeoutMs });
+  assert.equal(await nameOf(unreachable.get('a')), 'StoreNotWrittenError');
+  assert.equal(await nameOf(unreachable.compareAndSwap('a', 0, 'v')), 'StoreNotWrittenError');
+  await unreachable.close();
+  await assert.rejects(store.get('../other'), /unexpected status 404/);
+});
--- /dev/null
+++ b/packages/store/src/accept.test.ts
@@ -0,0 +1,242 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { loadFiles, parseHead } from '@sequoiafield/config';
+import { matchSnapshot, pauseClock, type PausedClock } from '@sequoiafield/test-kit';
+import type { Configuration } from '@sequoiafield/types';
+import fc from 'fast-check';
+import {
+  AcceptConflictError,
+  ConfigRepository,
+  MemoryFault,
+  MemoryStore,
+  storeKeys,
+  type AcceptResult,
+  type MemoryCall,
+} from './index.js';
+
+const configure = (slots: number, state = 'in', changedAt = ''): Configuration =>
+  loadFiles('conf', [
+    {
+      name: 'a.ini',
+      text:
+        `[service lager]\npriority = normal\nstable_version = v1\nslots = ${slots}\n` +
+        'connections_max = 110\nfailure_limit_percent = 2\nlatency_limit_ms = 250\n' +
+        `[data-centre sto-1]\nregion = norr\nramp_s = 30\nstate = ${state}\n${changedAt}`,
+    },
+  ]).configuration;
+
+const request = (operationId: string, slots: number, state?: string) => ({
+  configuration: configure(slots, state),
+  author: `operator of ${operationId}`,
+  operationId,
+});
+
+let clock: PausedClock;
+before(() => {
+  clock = pauseClock();
+});
+after(() => clock.resume());
+
+/** Advances the clock until a promise settles, so that pauses between reads pass at once. */
+const settle = async <T>(promise: Promise<T>): Promise<T | Error> => {
+  let outcome: { readonly value: T | Error } | undefined;
+  promise.then(
+    (value) => {
+      outcome = { value };
+    },
+    (error: Error) => {
+      outcome = { value: error };
+    },
+  );
+  while (!outcome) await clock.advance(50, 50);
+  return outcome.value;
+};
+
+const nameOf = (result: AcceptResult | Error): string =>
+  result instanceof Error ? result.name : `${result.kind} ${result.head.configVersion}`;
+
+const headOf = (store: MemoryStore) => parseHead(store.peek(storeKeys.head) ?? '');
+
+/** A store with version 1 whose faults start with the calls of the next operation. */
+const prepare = async (decide: (call: MemoryCall) => MemoryFault | undefined) => {
+  let callsBefore = Number.POSITIVE_INFINITY;
+  const store = new MemoryStore((call) =>
+    call.number > callsBefore ? decide({ ...call, number: call.number - callsBefore }) : undefined,
+  );
+  const repository = new ConfigRepository(store);
+  await settle(repository.accept(request('first', 10)));
+  callsBefore = store.calls.length;
+  const first = callsBefore;
+  return {
+    store,
+    repository,
+    callsOf: () => store.calls.slice(first),
+    stopFaults: () => {
+      callsBefore = Number.POSITIVE_INFINITY;
+    },
+  };
+};
+
+/** Fails if what the head names is incomplete, or an operation swapped the head twice. */
+const checkStore = async (store: MemoryStore, calls: readonly string[]): Promise<void> => {
+  const reader = new ConfigRepository(store);
+  const head = headOf(store);
+  await reader.readConfiguration(head);
+  assert.ok(calls.filter((call) => call === `swap ${storeKeys.head}`).length <= 1);
+};
+
+const faultKinds: Readonly<
+  Record<string, (step: number) => (call: MemoryCall) => MemoryFault | undefined>
+> = {
+  'one call refused': (step) => (call) =>
+    call.number === step ? MemoryFault.NotWritten : undefined,
+  'outage from here': (step) => (call) =>
+    call.number >= step ? MemoryFault.NotWritten : undefined,
+  'answer lost': (step) => (call) => (call.number === step ? MemoryFault.AnswerLost : undefined),
+  'request lost': (step) => (call) => (call.number === step ? MemoryFault.RequestLost : undefined),
+  'answer lost, then outage': (step) => (call) => {
+    if (call.number < step) return undefined;
+    return call.number === step ? MemoryFault.AnswerLost : MemoryFault.NotWritten;
+  },
+  'written late': (step) => (call) => (call.number === step ? MemoryFault.WrittenLate : undefined),
+};
+
+for (const [kind, faultAt] of Object.entries(faultKinds)) {
+  test(`accept under a fault at each step: ${kind}`, async () => {
+    // Guards against "accepted" without a head, "not accepted" with one, and a second write.
+    const fine = await prepare(() => undefined);
+    await settle(fine.repository.accept(request('second', 12, 'out')));
+    const steps = fine.callsOf();
+    const rows: string[] = [];
+    for (const [index, step] of steps.entries()) {
+      const { store, repository, callsOf, stopFaults } = await prepare(faultAt(index + 1));
+      const result = await settle(repository.accept(request('second', 12, 'out')));
+      const calls = callsOf();
+      stopFaults();
+      store.finishLateWrites();
+      const { configVersion } = headOf(store);
+      const row = `${nameOf(result)}, then head ${configVersion}`;
+      rows.push(`${step.replace(/[0-9a-f]{64}/, 'DIGEST')}: ${row}`);
+      const isAccepted = !(result instanceof Error);
+      if (isAccepted) assert.equal(configVersion, 2, row);
+      if (nameOf(result) === 'NotAcceptedError') assert.equal(configVersion, 1, row);
+      await checkStore(store, calls);
+    }
+    matchSnapshot(import.meta.filename, kind, rows.join('\n'));
+  });
+}
+
+test('a lost answer is settled even if the head has moved on', async () => {
+  // Guards against a conflict reported for a configuration that was accepted.
+  let remainingFaults = 1;
+  const { store, repository } = await prepare(({ operation, key }) => {
+    if (operation === 'get' || key !== storeKeys.head || remainingFaults === 0) return undefined;
+    remainingFaults -= 1;
+    return MemoryFault.AnswerLost;
+  });
+  const inner = repository.readHead.bind(repository);
+  let reads = 0;
+  repository.readHead = async () => {
+    reads += 1;
+    // The read after the lost answer comes when another operator has accepted the next version.
+    if (reads === 2) await new ConfigRepository(store).accept(request('third', 14));
+    return inner();
+  };
+  const result = await settle(repository.accept(request('second', 12)));
+  assert.equal(nameOf(result), 'accepted 2');
+  assert.equal(headOf(store).operationId, 'third');
+});
+
+test('of two operators one wins and the other sees whose change it was', async () => {
+  // Guards against a change that is overwritten without notice.
+  const { store, repository } = await prepare(() => undefined);
+  const other = new ConfigRepository(store);
+  const results = await Promise.all([
+    settle(repository.accept(request('ada', 12))),
+    settle(other.accept(request('bo', 14))),
+  ]);
+  const loser = results.find((result) => result instanceof AcceptConflictError);
+  assert.deepEqual(results.map(nameOf).sort(), ['AcceptConflictError', 'accepted 2']);
+  assert.ok(loser instanceof AcceptConflictError);
+  assert.equal(loser.currentHead?.operationId, headOf(store).operationId);
+  matchSnapshot(import.meta.filename, 'conflict', loser.message);
+});
+
+test('an operation that is repeated with its id is accepted once', async () => {
+  // Guards against an operator who runs apply again after a lost answer.
+  const { store, repository } = await prepare(() => undefined);
+  const names = [
+    nameOf(await settle(repository.accept(request('second', 12)))),
+    nameOf(await settle(repository.accept(request('second', 12)))),
+    nameOf(await settle(repository.accept(request('other', 12)))),
+  ];
+  assert.deepEqual(names, ['accepted 2', 'accepted 2', 'unchanged 2']);
+  assert.equal(store.written.get(storeKeys.head)?.length, 2);
+});
+
+test('sections that the store has are not written again', async () => {
+  // Guards against writes that grow with the number of services instead of with the change.
+  const { repository, callsOf } = await prepare(() => undefined);
+  await settle(repository.accept(request('second', 12)));
+  const swaps = callsOf().filter((call) => call.startsWith('swap sequoiafield/section'));
+  assert.equal(swaps.length, 1);
+});
+
+test('a data centre is stamped when its state changes, and only then', async () => {
+  // Guards against a returning data centre without a ramp, or one whose ramp starts anew.
+  const { repository } = await prepare(() => undefined);
+  const stampAfter = async (configuration: Configuration): Promise<number> => {
+    const operationId = `at ${Date.now()} with ${configuration.services.get('lager')?.service.slots}`;
+    const result = await settle(repository.accept({ configuration, author: 'a', operationId }));
+    if (result instanceof Error) throw result;
+    const { mesh } = await repository.readConfiguration(result.head);
+    return (mesh.dataCentres[0]?.changedAtUnixMs ?? 0) - Date.UTC(2026, 0, 1);
+  };
+  const startedAtMs = Date.now() - Date.UTC(2026, 0, 1);
+  const old = 'changed_at = 2025-01-01T00:00:00Z';
+  const stamps = [await stampAfter(configure(10, 'out', old))];
+  await clock.advance(1000, 1000);
+  stamps.push(await stampAfter(configure(11, 'out', old)));
+  stamps.push(await stampAfter(configure(11, 'in', old)));
+  stamps.push(await stampAfter(configure(12, 'in', 'changed_at = 2099-01-01T00:00:00Z')));
+  const [out = 0, stillOut, back = 0, explicit = 0] = stamps;
+  assert.ok(out >= startedAtMs);
+  assert.equal(stillOut, out);
+  assert.ok(back >= out + 1000);
+  assert.ok(explicit >= back && explicit <= Date.now() - Date.UTC(2026, 0, 1));
+});
+
+test('the head never reverts or skips, whatever is lost and however operators race', async () => {
+  // Guards invariant 1 at its source: versions rise by one, and each names a whole configuration.
+  const fault = fc.option(fc.constantFrom(...Object.values(MemoryFault)), {
+    nil: undefined,
+    freq: 4,
+  });
+  const property = fc.asyncProperty(
+    fc.infiniteStream(fault),
+    fc.array(fc.nat({ max: 3 }), { minLength: 3, maxLength: 12 }),
+    async (faults, operators) => {
+      const store = new MemoryStore(() => faults.next().value);
+      const repositories = Array.from({ length: 4 }, () => new ConfigRepository(store));
+      const results = await Promise.all(
+        operators.map((operator, index) => {
+          const repository = repositories[operator] as ConfigRepository;
+          return settle(repository.accept(request(`op-${index}`, index + 1)));
+        }),
+      );
+      store.finishLateWrites();
+      const heads = (store.written.get(storeKeys.head) ?? []).map(parseHead);
+      heads.forEach(({ configVersion }, index) => assert.equal(configVersion, index + 1));
+      results.forEach((result, index) => {
+        const count = heads.filter(({ operationId }) => operationId === `op-${index}`).length;
+        assert.ok(count <= 1);
+        if (!(result instanceof Error) && result.kind === 'accepted') assert.equal(count, 1);
+        if (result instanceof Error && result.name !== 'AcceptUnknownError') assert.equal(count, 0);
+      });
+      heads.forEach(({ manifestDigest }) =>
+        assert.ok(store.peek(storeKeys.manifest(manifestDigest))),
+      );
+    },
+  );
+  await fc.assert(property, { numRuns: 200, seed: 20_261_204 });
+});
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -17,6 +17,7 @@
 } from './errors.js';
 export { HttpStore, type HttpStoreOptions } from './http-store.js';
 export { storeKeys } from './keys.js';
+export { MemoryFault, MemoryStore, type MemoryCall } from './memory-store.js';
 export {
   absentRevision,
   valueMaxBytes,
--- /dev/null
+++ b/packages/store/src/records.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseVerdict } from '@sequoiafield/config';
+import { MoveVerdict, type SeedRecord, type VerdictRecord } from '@sequoiafield/types';
+import fc from 'fast-check';
+import { ConfigRepository, MemoryFault, MemoryStore, storeKeys, verdictRank } from './index.js';
+
+const verdictOf = (verdict: MoveVerdict, nodeId: string): VerdictRecord => ({
+  moveId: 'lager-v2',
+  verdict,
+  reason: `seen by ${nodeId}`,
+  decidedAtUnixMs: 1,
+  nodeId,
+});
+
+const seedsOf = (id: string): SeedRecord => ({
+  dataCentre: 'sto-1',
+  refreshedAtUnixMs: 1,
+  seeds: [{ id, address: '10.0.0.1', gossipPort: 7001 }],
+});
+
+test('a verdict never weakens, whatever is lost and however nodes race', async () => {
+  // Guards against a bad version that gets traffic again after it was taken back.
+  const fault = fc.option(fc.constantFrom(...Object.values(MemoryFault)), {
+    nil: undefined,
+    freq: 4,
+  });
+  const verdict = fc.constantFrom(MoveVerdict.Done, MoveVerdict.TakenBack);
+  const property = fc.asyncProperty(
+    fc.infiniteStream(fault),
+    fc.array(verdict, { minLength: 2, maxLength: 8 }),
+    async (faults, verdicts) => {
+      const store = new MemoryStore(() => faults.next().value);
+      const results = await Promise.allSettled(
+        verdicts.map((wanted, index) =>
+          new ConfigRepository(store).writeVerdict(verdictOf(wanted, `n${index}`)),
+        ),
+      );
+      store.finishLateWrites();
+      const written = store.written.get(storeKeys.verdict('lager-v2')) ?? [];
+      const ranks = written.map((value) => verdictRank(parseVerdict(value).verdict));
+      ranks.slice(1).forEach((rank, index) => assert.ok(rank > (ranks[index] ?? 0)));
+      results.forEach((result, index) => {
+        if (result.status === 'rejected') return;
+        const wanted = verdictRank(verdicts[index] as MoveVerdict);
+        assert.ok(verdictRank(result.value.verdict) >= wanted);
+        assert.ok(ranks.includes(verdictRank(result.value.verdict)));
+      });
+    },
+  );
+  await fc.assert(property, { numRuns: 300, seed: 20_261_204 });
+});
+
+test('a written verdict costs one read, and is kept if it is as strong', async () => {
+  // Guards against a fleet that writes the same verdict once per node.
+  const store = new MemoryStore();
+  const repository = new ConfigRepository(store);
+  await repository.writeVerdict(verdictOf(MoveVerdict.TakenBack, 'n1'));
+  const kept = await repository.writeVerdict(verdictOf(MoveVerdict.Done, 'n2'));
+  assert.equal(kept.nodeId, 'n1');
+  assert.equal((await repository.readVerdict('lager-v2'))?.verdict, MoveVerdict.TakenBack);
+  assert.equal(store.calls.length, 4);
+});
+
+test('of two nodes that refresh the seeds one writes', async () => {
+  // Guards against seeds that are overwritten by a node with an older view.
+  const repository = new ConfigRepository(new MemoryStore());
+  assert.equal(await repository.readSeeds('sto-1'), undefined);
+  assert.equal(await repository.writeSeeds(seedsOf('n1'), undefined), true);
+  assert.equal(await repository.writeSeeds(seedsOf('n2'), undefined), false);
+  const read = await repository.readSeeds('sto-1');
+  assert.deepEqual(read?.record, seedsOf('n1'));
+  assert.equal(await repository.writeSeeds(seedsOf('n3'), read?.revision), true);
+});
