Test the operator commands and settle repeated operations

Cause: operators' scripts rest on output and exit status, and an operator who repeats an apply after a lost answer must not undo a later change.

--- /dev/null
+++ b/packages/cli/src/commands.test.ts
@@ -0,0 +1,265 @@
+import assert from 'node:assert/strict';
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, beforeEach, test } from 'node:test';
+import { MemoryFault, MemoryStore, storeKeys, type MemoryCall } from '@sequoiafield/store';
+import { matchSnapshot } from '@sequoiafield/test-kit';
+import { MoveVerdict } from '@sequoiafield/types';
+import { addOperatorCommands, CommandLine, type CommandContext } from './index.js';
+
+const service = (slots: number): string =>
+  `[service lager]\npriority = normal\nstable_version = v1\nslots = ${slots}\n` +
+  'connections_max = 110\nfailure_limit_percent = 2\nlatency_limit_ms = 250\n' +
+  '[data-centre sto-1]\nregion = norr\nstate = in\nramp_s = 30\n';
+const move =
+  '[move lager-v2]\nservice = lager\nfrom = v1\nto = v2\nunproven_cap_percent = 5\n' +
+  'start_at = 2026-12-04T10:00:00Z\nfinish_by = 2026-12-04T10:10:00Z\n';
+
+const token = 'secret';
+let root = '';
+let admin: Server;
+let adminUrl = '';
+/** Answers of the node by path; tests replace them. */
+let answers: Record<string, unknown> = {};
+
+before(async () => {
+  root = await mkdtemp(join(tmpdir(), 'sequoiafield-'));
+  const folders = { a: service(10), b: service(12), moved: service(10) + move, bad: service(0) };
+  for (const [name, text] of Object.entries(folders)) {
+    await mkdir(join(root, name));
+    await writeFile(join(root, name, '10.ini'), text);
+  }
+  admin = createServer((request, response) => {
+    const isAllowed = request.headers.authorization === `Bearer ${token}`;
+    const answer = answers[request.url ?? ''];
+    response.statusCode = answer === undefined ? 404 : 200;
+    if (!isAllowed) response.statusCode = 401;
+    response.end(JSON.stringify(answer ?? {}));
+  });
+  await new Promise<void>((resolve) => {
+    admin.listen(0, '127.0.0.1', resolve);
+  });
+  adminUrl = `http://127.0.0.1:${(admin.address() as AddressInfo).port}`;
+});
+after(async () => {
+  admin.closeAllConnections();
+  admin.close();
+  await rm(root, { recursive: true });
+});
+
+/** Commands of one operator on a store in memory; `run` gives status and output. */
+class Operator implements CommandContext {
+  readonly env: Record<string, string> = { SEQUOIAFIELD_STORE_URL: 'http://127.0.0.1:1' };
+
+  isTerminal = false;
+
+  readonly #store: MemoryStore;
+
+  #output = '';
+
+  #operations = 0;
+
+  readonly #name: string;
+
+  constructor(store: MemoryStore, name = 'ada') {
+    this.#store = store;
+    this.#name = name;
+  }
+
+  writeOut(text: string): void {
+    this.#output += text;
+  }
+
+  writeError(text: string): void {
+    this.#output += text.replace(/^(?=.)/gm, 'stderr: ');
+  }
+
+  connectStore() {
+    return { store: this.#store, close: () => Promise.resolve() };
+  }
+
+  userName(): string {
+    return this.#name;
+  }
+
+  newOperationId(): string {
+    this.#operations += 1;
+    return `${this.#name}-${this.#operations}`;
+  }
+
+  async run(line: string): Promise<string> {
+    this.#output = '';
+    const args = line.replaceAll('ADMIN', `--admin ${adminUrl} --token ${token}`).split(' ');
+    const placed = args.map((arg) => (arg.startsWith('./') ? join(root, arg) : arg));
+    const status = await addOperatorCommands(new CommandLine(this)).run(placed);
+    const shown = this.#output
+      .replaceAll(root, '.')
+      .replaceAll(adminUrl, 'http://node')
+      .replaceAll(/\d{4}-\d\d-\d\dT[\d:.]+Z/g, 'TIME')
+      .replaceAll(/"acceptedAtUnixMs":\d+/g, '"acceptedAtUnixMs":0')
+      .replaceAll(/[0-9a-f]{64}/g, 'DIGEST');
+    return `$ ${line}\n${shown}=> ${status}\n`;
+  }
+
+  async runAll(lines: readonly string[]): Promise<string> {
+    const outputs: string[] = [];
+    for (const line of lines) outputs.push(await this.run(line));
+    return outputs.join('\n');
+  }
+}
+
+const inForce = (count: number, lagging: string[], missingIds: string[] = []) => ({
+  answered: 3 - missingIds.length,
+  total: 3,
+  missingIds,
+  value: { inForce: count, lagging },
+});
+
+const moveStatus = (verdict: MoveVerdict, reason: string, sharePercent: number) => ({
+  moves: [{ moveId: 'lager-v2', verdict, reason, sharePercent, provenStage: 0 }],
+});
+
+beforeEach(() => {
+  answers = {
+    '/v1/state': { configVersion: 1 },
+    '/v1/fleet/in-force?configVersion=1': inForce(3, []),
+    '/v1/fleet/in-force?configVersion=2': inForce(3, []),
+    '/v1/moves': { moves: [] },
+  };
+});
+
+test('an operator validates, compares, applies and reads the history', async () => {
+  // Guards against a changed output or exit status, on which operators' scripts rest.
+  const operator = new Operator(new MemoryStore());
+  const lines = [
+    'validate ./a',
+    'validate ./bad',
+    'validate ./bad --json',
+    'history',
+    'diff ./b --against ./a',
+    'apply ./a',
+    'apply ./a --json',
+    'diff ./b',
+    'apply ./b --json --author bo',
+    'apply ./bad',
+    'history',
+    'history --limit 1 --json',
+    'history --operation-id ada-1',
+    'history --operation-id ada-9',
+    'apply ./a --operation-id ada-3',
+    'apply ./a --operation-id ada-1',
+  ];
+  matchSnapshot(import.meta.filename, 'store commands', await operator.runAll(lines));
+});
+
+test('wrong command lines are refused', async () => {
+  // Guards against a typing error that ends as a success.
+  const operator = new Operator(new MemoryStore());
+  const lines = ['', 'aply ./a', 'apply', 'validate ./a --fast --json', 'apply ./a --wait'];
+  const other = ['wait', 'status --store elsewhere', 'report burn --admin nowhere'];
+  matchSnapshot(import.meta.filename, 'refused', await operator.runAll([...lines, ...other]));
+});
+
+test('the end of apply --wait names nodes and moves', async () => {
+  // Guards against "done" for a version that is not in force or a move that was taken back.
+  const outputs: string[] = [];
+  const apply = async (folder: string): Promise<void> => {
+    const operator = new Operator(new MemoryStore());
+    await operator.run('apply ./a');
+    outputs.push(await operator.run(`apply ${folder} --wait --timeout-s 0.01 ADMIN`));
+  };
+  await apply('./b');
+  answers['/v1/fleet/in-force?configVersion=2'] = inForce(1, ['n2'], ['n3']);
+  await apply('./b');
+  answers['/v1/fleet/in-force?configVersion=2'] = inForce(3, []);
+  await apply('./moved');
+  answers['/v1/moves'] = moveStatus(MoveVerdict.Undecided, '', 5);
+  await apply('./moved');
+  answers['/v1/moves'] = moveStatus(MoveVerdict.Done, '', 100);
+  await apply('./moved');
+  answers['/v1/moves'] = moveStatus(MoveVerdict.TakenBack, 'failures on route stock', 0);
+  await apply('./moved');
+  matchSnapshot(import.meta.filename, 'apply and wait', outputs.join('\n'));
+});
+
+test('status, wait and report ask one node', async () => {
+  // Guards against commands that need the store although a node can answer.
+  const operator = new Operator(new MemoryStore());
+  answers['/v1/fleet/in-force?configVersion=1'] = inForce(2, ['n2']);
+  answers['/v1/moves'] = moveStatus(MoveVerdict.Undecided, 'waits for evidence', 2);
+  answers['/v1/fleet/burn'] = {
+    answered: 3,
+    total: 3,
+    missingIds: [],
+    value: { services: [] },
+  };
+  const lines = [
+    'status ADMIN',
+    'wait --timeout-s 0.01 ADMIN',
+    'apply ./a',
+    'status ADMIN --json',
+    'wait --timeout-s 0.01 ADMIN',
+    'wait --move lager-v2 lager-v3 --timeout-s 0.01 ADMIN',
+    'wait --config-version 2 ADMIN',
+    'report burn ADMIN --json',
+    `status --admin ${adminUrl}`,
+  ];
+  const output = await operator.runAll(lines);
+  matchSnapshot(import.meta.filename, 'node commands', output.replaceAll(adminUrl, 'http://node'));
+});
+
+test('an operator is told truly what a store failure means', async () => {
+  // Guards against "accepted" or "nothing accepted" when neither is known.
+  const outputs: string[] = [];
+  const applyUnder = async (decide: (call: MemoryCall) => MemoryFault | undefined) => {
+    let isFaulty = false;
+    const store = new MemoryStore((call) => (isFaulty ? decide(call) : undefined));
+    const operator = new Operator(store);
+    await operator.run('apply ./a');
+    isFaulty = true;
+    outputs.push(await operator.run('apply ./b'));
+  };
+  await applyUnder(() => MemoryFault.NotWritten);
+  const isHeadSwap = ({ key, operation }: MemoryCall) =>
+    key === storeKeys.head && operation === 'swap';
+  await applyUnder((call) => (isHeadSwap(call) ? MemoryFault.AnswerLost : undefined));
+  await applyUnder((call) => (isHeadSwap(call) ? MemoryFault.RequestLost : undefined));
+  await applyUnder(({ key }) =>
+    key === storeKeys.history(2) ? MemoryFault.NotWritten : undefined,
+  );
+  matchSnapshot(import.meta.filename, 'store failures', outputs.join('\n'));
+});
+
+test('the loser of two operators sees the change of the other', async () => {
+  // Guards against a conflict that does not say what it is about.
+  const store = new MemoryStore();
+  const swap = store.compareAndSwap.bind(store);
+  let runOther: (() => Promise<string>) | undefined;
+  store.compareAndSwap = async (key, expectedRevision, value) => {
+    const run = key.startsWith('sequoiafield/manifest') ? runOther : undefined;
+    if (run) {
+      runOther = undefined;
+      await run();
+    }
+    return swap(key, expectedRevision, value);
+  };
+  const operator = new Operator(store);
+  await operator.run('apply ./a');
+  runOther = () => new Operator(store, 'bo').run('apply ./b');
+  const text = await operator.run('apply ./moved');
+  runOther = () => new Operator(store, 'cleo').run('apply ./a');
+  const json = await operator.run('apply ./moved --json');
+  matchSnapshot(import.meta.filename, 'conflict', `${text}\n${json}`);
+});
+
+test('progress is shown on a terminal only, and never with --json', async () => {
+  // Guards against control characters in the output of scripts.
+  const operator = new Operator(new MemoryStore());
+  operator.isTerminal = true;
+  await operator.run('apply ./a');
+  assert.match(await operator.run('wait ADMIN'), /\r/);
+  assert.doesNotMatch(await operator.run('wait --json ADMIN'), /\r/);
+});
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -2,10 +2,11 @@
 import {
   AcceptConflictError,
   AcceptUnknownError,
+  historyReadMax,
   type AcceptResult,
   type ConfigRepository,
 } from '@sequoiafield/store';
-import type { MoveIntent } from '@sequoiafield/types';
+import type { HeadRecord, MoveIntent } from '@sequoiafield/types';
 import { listChangedMoves } from '../changed-moves.js';
 import type { CommandContext, CommandResult } from '../command-context.js';
 import { ExitStatus, statusOfError } from '../exit-status.js';
@@ -77,6 +78,26 @@
   lines: error.message.split('\n'),
 });
 
+/**
+ * Finds an operation among the last accepted versions. Without it, an operator who repeats an
+ * operation after another one was accepted would undo the other's change.
+ */
+const findOperation = async (
+  repository: ConfigRepository,
+  operationId: string,
+): Promise<HeadRecord | undefined> => {
+  const history = await repository.readHistory(historyReadMax);
+  return history.find((entry) => entry.operationId === operationId);
+};
+
+const describeRepeated = ({ operationId, configVersion }: HeadRecord): CommandResult => ({
+  status: ExitStatus.Success,
+  data: { isChanged: false, operationId, configVersion },
+  lines: [
+    `Operation ${operationId} was accepted before as version ${configVersion}; no change now`,
+  ],
+});
+
 const describeAccepted = (result: AcceptResult): CommandResult => {
   const { configVersion, operationId, author } = result.head;
   if (result.kind === 'unchanged') {
@@ -118,6 +139,10 @@
   };
   return withStore(context, args, async (repository) => {
     try {
+      if (args['operation-id'] !== undefined) {
+        const earlier = await findOperation(repository, request.operationId);
+        if (earlier) return describeRepeated(earlier);
+      }
       const result = await repository.accept(request);
       const moves = args.wait ? await readChangedMoves(repository, result).catch(() => []) : [];
       return { result, moves };
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -69,7 +69,7 @@
             after: folder.configuration,
           };
     const differences = diffConfigurations(before.configuration, before.after, folder);
-    const summary = `${differences.length} keys differ from ${before.name}`;
+    const summary = `Keys that differ from ${before.name}: ${differences.length}`;
     return {
       status: ExitStatus.Success,
       data: { against: before.name, differences },
--- a/packages/store/src/head-settlement.ts
+++ b/packages/store/src/head-settlement.ts
@@ -46,7 +46,7 @@
     const { operationId, configVersion } = this.#record;
     throw new AcceptUnknownError(
       `Whether version ${configVersion} was accepted is unknown: the answer was lost and ${seen}. ` +
-        `Find out with: sequoiafield history --operation-id ${operationId}`,
+        `Find out with "sequoiafield history --operation-id ${operationId}". Cause:`,
       { cause, props: { operationId, configVersion } },
     );
   }
