--- /dev/null
+++ b/packages/calls/src/answer-writer.ts
@@ -0,0 +1,73 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { BodyChannel } from '@sequoiafield/transport';
+import { outcomeHeader, reasonHeader, requestIdHeader } from '@sequoiafield/types';
+import type { CallAnswer, CallRefusal } from '@sequoiafield/types';
+import { statusOf } from './refusals.js';
+
+const flattenHeaders = (answer: CallAnswer, requestId: string): string[] => {
+  const headers: string[] = [requestIdHeader, requestId];
+  for (const [name, value] of answer.headers) headers.push(name, value);
+  return headers;
+};
+
+/** Writes results to a caller's connection. */
+export class AnswerWriter {
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly requestId: string,
+  ) {}
+
+  /** Writes an answer; returns false if its body broke off, which the caller sees as a reset. */
+  async writeAnswer(answer: CallAnswer): Promise<boolean> {
+    const { response } = this;
+    const { body } = answer;
+    response.writeHead(answer.status, flattenHeaders(answer, this.requestId));
+    const whole = body instanceof BodyChannel ? body.takeWhole() : undefined;
+    if (whole) {
+      response.end(whole);
+      return true;
+    }
+    try {
+      await this.#stream(body);
+      return true;
+    } catch {
+      // A reset, since an orderly close would end a body without a length as if it were complete.
+      response.socket?.resetAndDestroy();
+      return false;
+    }
+  }
+
+  /** Writes a refusal with its outcome and reason in headers and in a JSON body. */
+  writeRefusal(refusal: CallRefusal, isClosing: boolean): void {
+    const { response, requestId } = this;
+    if (response.destroyed || response.headersSent) return;
+    const { outcome, reason, detail } = refusal;
+    const body = Buffer.from(JSON.stringify({ outcome, reason, detail, requestId }));
+    const headers = [
+      requestIdHeader,
+      requestId,
+      outcomeHeader,
+      outcome,
+      reasonHeader,
+      reason,
+      'content-type',
+      'application/json',
+      'content-length',
+      String(body.byteLength),
+    ];
+    if (isClosing) headers.push('connection', 'close');
+    response.writeHead(statusOf(refusal), headers);
+    response.end(response.req.method === 'HEAD' ? undefined : body);
+  }
+
+  async #stream(body: AsyncIterable<Uint8Array>): Promise<void> {
+    const { response } = this;
+    for await (const chunk of body) {
+      if (response.destroyed) return;
+      if (!response.write(chunk))
+        await Promise.race([once(response, 'drain'), once(response, 'close')]);
+    }
+    response.end();
+  }
+}
--- /dev/null
+++ b/packages/calls/src/backend-client.ts
@@ -0,0 +1,36 @@
+import type { CallOpen, CallRefusal } from '@sequoiafield/types';
+import type { BodyChannel } from '@sequoiafield/transport';
+import type { HeaderPair } from './headers.js';
+
+/** Head and body of a backend server's answer. */
+export interface BackendAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderPair[];
+  readonly body: BodyChannel;
+}
+
+/** Result of one request to the own backend server. */
+export type BackendResult =
+  | { readonly kind: 'answer'; readonly answer: BackendAnswer }
+  | { readonly kind: 'refusal'; readonly refusal: CallRefusal };
+
+/** How a request to the backend server ended, body included. */
+export interface BackendEnd {
+  /** Failed answers, broken bodies and connections; not the backend server's own refusals. */
+  readonly hasFailed: boolean;
+  /** False if nothing was sent or the backend server refused it as not run. */
+  readonly hasRun: boolean;
+}
+
+/** Sends requests to the backend server beside this node. */
+export interface BackendClient {
+  /** Runs one request; `onEnd` is called once, when nothing of it is left on the connection. */
+  send(
+    open: CallOpen,
+    remainingMs: number,
+    body: AsyncIterable<Uint8Array>,
+    signal: AbortSignal,
+    onEnd: (end: BackendEnd) => void,
+  ): Promise<BackendResult>;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/calls/src/call-path-options.ts
@@ -0,0 +1,32 @@
+import type { Logger } from '@sequoiafield/logger';
+import type { RandomSource } from '@sequoiafield/tables';
+import type { AttemptSequence } from '@sequoiafield/transport';
+import type {
+  CallSender,
+  EvidenceRecorder,
+  MemberAnnouncement,
+  RolloutView,
+  Router,
+  SnapshotView,
+} from '@sequoiafield/types';
+import type { BackendCallReceiver } from './call-receiver.js';
+import type { RetryPolicy } from './retry-policy.js';
+
+/** What a call path needs. */
+export interface CallPathOptions {
+  /** This node; `callPort` 0 lets the system choose a port. */
+  readonly self: MemberAnnouncement;
+  readonly snapshots: SnapshotView;
+  readonly router: Router;
+  readonly rollout: RolloutView;
+  readonly evidence: EvidenceRecorder;
+  /** Receiving side of this node, also used directly when this node is chosen. */
+  readonly receiver: BackendCallReceiver;
+  readonly sender: CallSender;
+  /** Numbers of attempts, shared with the transport. */
+  readonly sequence: AttemptSequence;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** `SafeRetryPolicy` unless a test replaces it. */
+  readonly retryPolicy?: RetryPolicy;
+}
--- /dev/null
+++ b/packages/calls/src/call-path.ts
@@ -0,0 +1,206 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { CallError } from '@sequoiafield/errors';
+import { monotonicNowMs } from '@sequoiafield/tables';
+import {
+  bodyMaxBytes,
+  RefusalReason,
+  type CallRefusal,
+  type CallResult,
+  type RouteMatch,
+  RefusalOutcome,
+} from '@sequoiafield/types';
+import { fastify, type FastifyInstance } from 'fastify';
+import { AnswerWriter } from './answer-writer.js';
+import type { CallPathOptions } from './call-path-options.js';
+import { CallRun } from './call-run.js';
+import { CallScope } from './call-scope.js';
+import { forwardRequestHeaders } from './headers.js';
+import { pathOf, readDeadlineMs, readRequestId } from './inbound-call.js';
+import { notRun, refused } from './refusals.js';
+import { RequestBodyReader, type RequestBody } from './request-body.js';
+import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
+import { RunningCalls } from './running-calls.js';
+import type { CallCounters } from './counters.js';
+
+/** Idle time after which a caller's connection is closed; longer than common client limits. */
+const keepAliveTimeoutMs = 75_000;
+
+/** Accepts calls over HTTP and carries each to a backend server and back. */
+export class CallPath {
+  readonly counters: CallCounters;
+
+  readonly #server: FastifyInstance;
+
+  readonly #policy: RetryPolicy;
+
+  readonly #running = new RunningCalls();
+
+  #isDraining = false;
+
+  #lastRequest = 0;
+
+  constructor(private readonly options: CallPathOptions) {
+    this.counters = options.receiver.counters;
+    this.#policy = options.retryPolicy ?? new SafeRetryPolicy();
+    this.#server = fastify({
+      logger: false,
+      keepAliveTimeout: keepAliveTimeoutMs,
+      forceCloseConnections: 'idle',
+      return503OnClosing: false,
+      exposeHeadRoutes: false,
+      frameworkErrors: (_error, request, reply) => {
+        reply.hijack();
+        this.#accept(request.raw, reply.raw);
+      },
+    });
+    this.#addRoutes();
+  }
+
+  /** Port that `start` listens on. */
+  get callPort(): number {
+    const address = this.#server.server.address() as AddressInfo | null;
+    if (!address) throw new CallError('The call path does not listen yet');
+    return address.port;
+  }
+
+  /** Listens for callers; rejects with a `CallError` if the port is taken. */
+  async start(): Promise<void> {
+    const { address, callPort } = this.options.self;
+    try {
+      await this.#server.listen({ host: address, port: callPort });
+    } catch (cause) {
+      throw new CallError(`Cannot listen for calls on ${address}:${callPort}`, { cause });
+    }
+  }
+
+  /**
+   * Graceful shutdown: refuses new calls as not run, and resolves once every running call has ended on
+   * the caller's and on the receiving side. Calls that the own backend server makes for a request that
+   * it still runs are carried; without them that request would fail.
+   */
+  async drain(): Promise<void> {
+    this.#isDraining = true;
+    this.options.receiver.startDraining();
+    while (this.#running.size > 0 || this.options.receiver.running.size > 0) {
+      await Promise.all([this.#running.whenIdle(), this.options.receiver.running.whenIdle()]);
+    }
+    await this.#server.close();
+  }
+
+  /** Ends at once; running calls are cut. */
+  async stop(): Promise<void> {
+    this.#server.server.closeAllConnections();
+    await this.#server.close();
+  }
+
+  #addRoutes(): void {
+    const server = this.#server;
+    server.removeAllContentTypeParsers();
+    // Bodies are read by the call path, so that they pass through without being decoded.
+    server.addContentTypeParser('*', (_request, _payload, done) => done(null));
+    server.all('/*', (request, reply) => {
+      reply.hijack();
+      this.#accept(request.raw, reply.raw);
+    });
+    // Targets that the router of the HTTP framework cannot decode are matched here all the same.
+    server.setNotFoundHandler((request, reply) => {
+      reply.hijack();
+      this.#accept(request.raw, reply.raw);
+    });
+  }
+
+  #accept(request: IncomingMessage, response: ServerResponse): void {
+    this.#handle(request, response).catch(() => response.destroy());
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = readRequestId(request) ?? this.#nextRequestId();
+    const finish = this.#running.begin(requestId);
+    const scope = new CallScope();
+    response.on('close', () => {
+      scope.end(response.writableFinished);
+      finish();
+    });
+    const writer = new AnswerWriter(response, requestId);
+    const result = await this.#carry(request, requestId, scope);
+    await this.#write(result, writer, !request.complete);
+  }
+
+  async #carry(request: IncomingMessage, requestId: string, scope: CallScope): Promise<CallResult> {
+    const method = request.method ?? 'GET';
+    const path = request.url ?? '/';
+    const match = this.options.router.match(method, pathOf(path));
+    const refusal = this.#check(request, requestId, match);
+    if (refusal) return refused(refusal);
+    if (!match) return refused(notRun(RefusalReason.NoRoute, `no route for ${method} ${path}`));
+    const deadlineMs = readDeadlineMs(request, match.route.deadlineMs);
+    if (deadlineMs <= 0) {
+      return refused(notRun(RefusalReason.DeadlinePassed, 'the caller waits no longer'));
+    }
+    const deadlineAtMs = monotonicNowMs() + deadlineMs;
+    scope.startDeadline(deadlineMs);
+    let body: RequestBody;
+    try {
+      body = await new RequestBodyReader(request, bodyMaxBytes).read(scope.signal);
+    } catch {
+      const detail = 'the request body did not arrive in time';
+      return refused(notRun(RefusalReason.DeadlinePassed, detail));
+    }
+    const headers = forwardRequestHeaders(request.rawHeaders);
+    const configVersion = this.options.snapshots.current()?.configVersion ?? 0;
+    const call = { requestId, match, method, path, headers, body, configVersion, deadlineAtMs };
+    this.counters.callsStarted += 1;
+    return new CallRun(call, this.options, this.#policy, this.counters, scope.signal).run();
+  }
+
+  #check(
+    request: IncomingMessage,
+    requestId: string,
+    match: RouteMatch | undefined,
+  ): CallRefusal | undefined {
+    if (this.#isDraining && !this.options.receiver.running.has(requestId)) {
+      return notRun(RefusalReason.Draining, 'the node is stopping');
+    }
+    if (!this.options.snapshots.isServing()) {
+      return notRun(RefusalReason.NotReady, 'the node holds no current configuration');
+    }
+    if (match && Number(request.headers['content-length'] ?? 0) > bodyMaxBytes) {
+      return notRun(RefusalReason.BodyTooLarge, `the body exceeds ${bodyMaxBytes} bytes`);
+    }
+    return undefined;
+  }
+
+  async #write(result: CallResult, writer: AnswerWriter, isUnread: boolean): Promise<void> {
+    if (result.kind === 'answer') {
+      this.counters.callsAnswered += 1;
+      if (!(await writer.writeAnswer(result.answer))) this.counters.answersCut += 1;
+      return;
+    }
+    const { refusal } = result;
+    if (refusal.outcome === RefusalOutcome.NotRun) this.counters.callsNotRun += 1;
+    else this.counters.callsUnknown += 1;
+    // A connection whose request body was not read to its end cannot carry another request.
+    writer.writeRefusal(refusal, this.#isDraining || isUnread);
+  }
+
+  #nextRequestId(): string {
+    this.#lastRequest += 1;
+    const { id, incarnation } = this.options.self;
+    return `${id}-${incarnation.toString(36)}-${this.#lastRequest.toString(36)}`;
+  }
+}
+
+/**
+ * Creates the call path of a node.
+ *
+ * @example
+ * const receiver = new BackendCallReceiver({ self, rollout, admission, evidence, backend });
+ * const transport = createTransport({ self, receiver, logger, random });
+ * const calls = createCallPath({
+ *   self, snapshots, router, rollout, evidence, receiver, logger, random,
+ *   sender: transport.sender, sequence: transport.sequence,
+ * });
+ * await calls.start();
+ */
+export const createCallPath = (options: CallPathOptions): CallPath => new CallPath(options);
--- /dev/null
+++ b/packages/calls/src/call-receiver.ts
@@ -0,0 +1,174 @@
+import { monotonicNowMs } from '@sequoiafield/tables';
+import {
+  RefusalReason,
+  type Admission,
+  type CallAnswer,
+  type CallOpen,
+  type CallReceiver,
+  type CallRefusal,
+  type CallResult,
+  type EvidenceRecorder,
+  type MemberAnnouncement,
+  type Permit,
+  type RolloutView,
+} from '@sequoiafield/types';
+import type { BackendClient, BackendEnd } from './backend-client.js';
+import { CallCounters } from './counters.js';
+import { notRun, refused, unknownOutcome } from './refusals.js';
+import { RunningCalls } from './running-calls.js';
+
+/** What the receiving side of calls needs. */
+export interface CallReceiverOptions {
+  /** This node; service and version are read for each call, since they are announced late. */
+  readonly self: Pick<MemberAnnouncement, 'incarnation' | 'service' | 'backendVersion'>;
+  readonly rollout: RolloutView;
+  readonly admission: Admission;
+  readonly evidence: EvidenceRecorder;
+  readonly backend: BackendClient;
+  readonly counters?: CallCounters;
+}
+
+/**
+ * Runs the calls of callers on the backend server beside this node. Every check before the request
+ * is written refuses with "not run"; after it, only the backend server's own refusal does.
+ *
+ * @example
+ * const receiver = new BackendCallReceiver({ self, rollout, admission, evidence, backend });
+ * const transport = createTransport({ self, receiver, logger, random });
+ */
+export class BackendCallReceiver implements CallReceiver {
+  readonly counters: CallCounters;
+
+  readonly running = new RunningCalls();
+
+  #isDraining = false;
+
+  constructor(private readonly options: CallReceiverOptions) {
+    this.counters = options.counters ?? new CallCounters();
+  }
+
+  async receive(
+    open: CallOpen,
+    body: AsyncIterable<Uint8Array>,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
+    const refusal = this.#check(open);
+    if (refusal) return this.#refuse(refusal);
+    const finish = this.running.begin(open.requestId);
+    let isHandedOver = false;
+    try {
+      const admitted = await this.options.admission.admit(open, open.deadlineAtMs, signal);
+      if (admitted.kind === 'refusal') return this.#refuse(admitted.refusal);
+      isHandedOver = true;
+      return await this.#run(open, body, signal, admitted.permit, finish);
+    } finally {
+      if (!isHandedOver) finish();
+    }
+  }
+
+  /** Refuses what arrives from now on; running calls go on. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  #check(open: CallOpen): CallRefusal | undefined {
+    const { self, rollout } = this.options;
+    if (this.#isDraining) return notRun(RefusalReason.Draining, 'the receiving node is stopping');
+    if (open.attempt.receiverIncarnation !== self.incarnation) {
+      return notRun(RefusalReason.WrongIncarnation, `this is incarnation ${self.incarnation}`);
+    }
+    if (open.service !== self.service || open.backendVersion !== self.backendVersion) {
+      const detail = `the backend server here is ${self.service} ${self.backendVersion}`;
+      return notRun(RefusalReason.WrongVersion, detail);
+    }
+    if (open.deadlineAtMs <= monotonicNowMs()) {
+      return notRun(RefusalReason.DeadlinePassed, 'the deadline passed before the call arrived');
+    }
+    if (!rollout.isAllowed(open.service, open.backendVersion)) {
+      const detail = `version ${open.backendVersion} gets no new work`;
+      return notRun(RefusalReason.VersionTakenBack, detail);
+    }
+    return undefined;
+  }
+
+  #refuse(refusal: CallRefusal): CallResult {
+    return refused({ ...refusal, load: refusal.load ?? this.options.admission.load() });
+  }
+
+  async #run(
+    open: CallOpen,
+    body: AsyncIterable<Uint8Array>,
+    signal: AbortSignal,
+    permit: Permit,
+    finish: () => void,
+  ): Promise<CallResult> {
+    const startedAtMs = monotonicNowMs();
+    const remainingMs = open.deadlineAtMs - startedAtMs;
+    const late = this.#checkAfterQueue(open, remainingMs, signal);
+    if (late) {
+      permit.release({ hasFailed: false, latencyMs: 0 });
+      finish();
+      return this.#refuse(late);
+    }
+    // The sender's cancel may be lost with its link, so the deadline is kept here as well.
+    const deadline = new AbortController();
+    const abort = (): void => deadline.abort();
+    const timer = setTimeout(abort, remainingMs);
+    signal.addEventListener('abort', abort);
+    this.counters.backendRequests += 1;
+    const onEnd = (end: BackendEnd): void => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', abort);
+      this.#recordEnd(open, end, startedAtMs, permit, signal.aborted);
+      finish();
+    };
+    const result = await this.options.backend.send(open, remainingMs, body, deadline.signal, onEnd);
+    if (result.kind === 'refusal') {
+      const isLate = open.deadlineAtMs <= monotonicNowMs();
+      return this.#refuse(isLate ? this.#asLate(result.refusal) : result.refusal);
+    }
+    const answer: CallAnswer = { ...result.answer, load: this.options.admission.load() };
+    return { kind: 'answer', answer };
+  }
+
+  /** The queue may have held the call past its deadline or its caller's patience. */
+  #checkAfterQueue(
+    open: CallOpen,
+    remainingMs: number,
+    signal: AbortSignal,
+  ): CallRefusal | undefined {
+    if (remainingMs <= 0) {
+      return notRun(RefusalReason.DeadlinePassed, 'the deadline passed in the queue');
+    }
+    if (signal.aborted) return notRun(RefusalReason.Cancelled, 'cancelled in the queue');
+    const { rollout } = this.options;
+    if (rollout.isAllowed(open.service, open.backendVersion)) return undefined;
+    return notRun(RefusalReason.VersionTakenBack, 'the version was taken back meanwhile');
+  }
+
+  #asLate(refusal: CallRefusal): CallRefusal {
+    if (refusal.reason !== RefusalReason.Cancelled) return refusal;
+    const { outcome } = refusal;
+    const late = unknownOutcome(RefusalReason.DeadlinePassed, 'the deadline passed');
+    return { ...late, outcome };
+  }
+
+  #recordEnd(
+    open: CallOpen,
+    end: BackendEnd,
+    startedAtMs: number,
+    permit: Permit,
+    isCancelled: boolean,
+  ): void {
+    const nowMs = monotonicNowMs();
+    const latencyMs = nowMs - startedAtMs;
+    // A caller that went away before its deadline says nothing about the backend server.
+    const isCallersChoice = isCancelled && nowMs < open.deadlineAtMs;
+    const hasFailed = end.hasFailed && !isCallersChoice;
+    if (hasFailed) this.counters.backendFailures += 1;
+    permit.release({ hasFailed, latencyMs });
+    if (!end.hasRun || isCallersChoice) return;
+    const { service, route, backendVersion } = open;
+    this.options.evidence.recordEnded({ service, route, backendVersion, hasFailed, latencyMs });
+  }
+}
--- /dev/null
+++ b/packages/calls/src/call-run.ts
@@ -0,0 +1,192 @@
+import { monotonicNowMs } from '@sequoiafield/tables';
+import {
+  RefusalOutcome,
+  RefusalReason,
+  type CallAnswer,
+  type CallOpen,
+  type CallRefusal,
+  type CallResult,
+  type MemberRow,
+  type RouteMatch,
+} from '@sequoiafield/types';
+import { BodyChannel } from '@sequoiafield/transport';
+import type { CallPathOptions } from './call-path-options.js';
+import type { CallCounters } from './counters.js';
+import type { HeaderPair } from './headers.js';
+import { notRun, refused, unknownOutcome } from './refusals.js';
+import type { RequestBody } from './request-body.js';
+import type { RetryPolicy } from './retry-policy.js';
+
+/** One inbound call, as read from its caller. */
+export interface InboundCall {
+  readonly requestId: string;
+  readonly match: RouteMatch;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly HeaderPair[];
+  readonly body: RequestBody;
+  readonly configVersion: number;
+  readonly deadlineAtMs: number;
+}
+
+const statusServerError = 500;
+
+/** Attempts of one call, one after the other, until one answers or no other may follow. */
+export class CallRun {
+  readonly #tried = new Set<string>();
+
+  readonly #refusedVersions = new Set<string>();
+
+  #attempts = 0;
+
+  #unknown: CallRefusal | undefined;
+
+  constructor(
+    private readonly call: InboundCall,
+    private readonly options: CallPathOptions,
+    private readonly policy: RetryPolicy,
+    private readonly counters: CallCounters,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /** Result of the call; a refusal says "not run" only if that is true of every attempt. */
+  async run(): Promise<CallResult> {
+    const { match } = this.call;
+    this.options.router.recordFirstAttempt(match.service.name);
+    for (;;) {
+      const result = await this.#attempt();
+      if (result.kind === 'answer') return result;
+      const { refusal } = result;
+      if (refusal.outcome === RefusalOutcome.Unknown) this.#unknown = refusal;
+      if (!this.#mayRetry(refusal)) return refused(this.#unknown ?? refusal);
+      this.counters.retries += 1;
+    }
+  }
+
+  #mayRetry(refusal: CallRefusal): boolean {
+    const { match, body, deadlineAtMs } = this.call;
+    if (this.signal.aborted || deadlineAtMs <= monotonicNowMs()) return false;
+    // No member was chosen, and asking again at once would choose none either.
+    if (refusal.reason === RefusalReason.NoBackendServer) return false;
+    return this.policy.mayRetry({
+      route: match.route,
+      refusal,
+      attemptsSoFar: this.#attempts,
+      isReplayable: !(body instanceof BodyChannel),
+      takeBudget: () =>
+        this.options.router.takeRetry(match.service.name, match.route.retryBudgetPercent),
+    });
+  }
+
+  #chooseVersion(): string {
+    const { service } = this.call.match;
+    const version = this.options.rollout.chooseVersion(service.name, this.options.random.next());
+    // A version that refused this call once is not asked a second time.
+    if (version === undefined || this.#refusedVersions.has(version)) return service.stableVersion;
+    return version;
+  }
+
+  async #attempt(): Promise<CallResult> {
+    const { router } = this.options;
+    const { service } = this.call.match;
+    const version = this.#chooseVersion();
+    const member = router.choose(service.name, version, this.#tried);
+    if (!member) {
+      const detail = `no backend server of ${service.name} ${version} is known`;
+      return refused(notRun(RefusalReason.NoBackendServer, detail));
+    }
+    this.#attempts += 1;
+    this.#tried.add(member.id);
+    router.begin(member.id);
+    const startedAtMs = monotonicNowMs();
+    const result = await this.#send(member, this.#open(member, version));
+    if (result.kind === 'answer') return this.#onAnswer(result.answer, member, startedAtMs);
+    return this.#onRefusal(result.refusal, member, version, startedAtMs);
+  }
+
+  #open(member: MemberRow, backendVersion: string): CallOpen {
+    const { call, options } = this;
+    const { route, service } = call.match;
+    return {
+      requestId: call.requestId,
+      attempt: {
+        senderId: options.self.id,
+        senderIncarnation: options.self.incarnation,
+        sequence: options.sequence.next(),
+        receiverIncarnation: member.incarnation,
+      },
+      service: service.name,
+      route: route.name,
+      backendVersion,
+      configVersion: call.configVersion,
+      priority: service.priority,
+      isIdempotent: route.isIdempotent,
+      deadlineAtMs: call.deadlineAtMs,
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+    };
+  }
+
+  #send(member: MemberRow, open: CallOpen): Promise<CallResult> {
+    const { body } = this.call;
+    if (member.id !== this.options.self.id) {
+      this.counters.attemptsLinked += 1;
+      return this.options.sender.send(member, open, body, this.signal);
+    }
+    this.counters.attemptsDirect += 1;
+    const stream = body instanceof BodyChannel ? body : BodyChannel.of(body);
+    return this.options.receiver.receive(open, stream, this.signal);
+  }
+
+  #onAnswer(answer: CallAnswer, member: MemberRow, startedAtMs: number): CallResult {
+    this.options.router.report({
+      memberId: member.id,
+      service: this.call.match.service.name,
+      hasFailed: answer.status >= statusServerError,
+      latencyMs: monotonicNowMs() - startedAtMs,
+      load: answer.load,
+    });
+    return { kind: 'answer', answer };
+  }
+
+  #onRefusal(
+    received: CallRefusal,
+    member: MemberRow,
+    version: string,
+    startedAtMs: number,
+  ): CallResult {
+    const { route, service } = this.call.match;
+    const nowMs = monotonicNowMs();
+    const isTimeout =
+      received.reason === RefusalReason.Cancelled && nowMs >= this.call.deadlineAtMs;
+    const refusal = isTimeout ? this.#asTimeout(received) : received;
+    const isUnknown = refusal.outcome === RefusalOutcome.Unknown;
+    if (isUnknown && refusal.reason === RefusalReason.DeadlinePassed) {
+      this.options.evidence.recordUnanswered(service.name, route.name, version);
+    }
+    if (
+      refusal.reason === RefusalReason.VersionOverShare ||
+      refusal.reason === RefusalReason.VersionTakenBack
+    ) {
+      this.#refusedVersions.add(version);
+    }
+    this.options.router.report({
+      memberId: member.id,
+      service: service.name,
+      hasFailed:
+        (isUnknown && refusal.reason !== RefusalReason.Cancelled) ||
+        refusal.reason === RefusalReason.ConnectFailed,
+      latencyMs: nowMs - startedAtMs,
+      refusalReason: refusal.reason,
+      ...(refusal.load ? { load: refusal.load } : {}),
+    });
+    return refused(refusal);
+  }
+
+  #asTimeout(refusal: CallRefusal): CallRefusal {
+    const detail = 'the deadline passed before an answer came';
+    const late = unknownOutcome(RefusalReason.DeadlinePassed, detail);
+    return { ...late, outcome: refusal.outcome };
+  }
+}
--- /dev/null
+++ b/packages/calls/src/failure-classifier.ts
@@ -0,0 +1,14 @@
+import type { CallRefusal, RefusalReason } from '@sequoiafield/types';
+import { notRun, unknownOutcome } from './refusals.js';
+
+/** Decides what a failed request says about whether it ran; tests replace it. */
+export interface FailureClassifier {
+  classify(wasWritten: boolean, reason: RefusalReason, detail: string): CallRefusal;
+}
+
+/** Only a request of which nothing was written to the backend server did not run. */
+export class WrittenClassifier implements FailureClassifier {
+  classify(wasWritten: boolean, reason: RefusalReason, detail: string): CallRefusal {
+    return wasWritten ? unknownOutcome(reason, detail) : notRun(reason, detail);
+  }
+}
--- /dev/null
+++ b/packages/calls/src/test-support/rig.ts
@@ -0,0 +1,196 @@
+import { createServer, type RequestListener, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { SilentLogger } from '@sequoiafield/logger';
+import { SeededRandom, TickLoop } from '@sequoiafield/tables';
+import { createTransport, type Transport, type TransportOptions } from '@sequoiafield/transport';
+import {
+  MemberState,
+  Priority,
+  type Admission,
+  type AttemptReport,
+  type CallEvidence,
+  type CallRefusal,
+  type MemberRow,
+  type RouteIntent,
+  type ServiceIntent,
+} from '@sequoiafield/types';
+import {
+  BackendCallReceiver,
+  CallPath,
+  createCallPath,
+  UndiciBackendClient,
+  type BackendClientOptions,
+  type RetryPolicy,
+} from '../index.js';
+
+/** Starts an HTTP server on a free loopback port. */
+export const listen = async (listener: RequestListener): Promise<[Server, string]> => {
+  const server = createServer(listener);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return [server, `http://127.0.0.1:${(server.address() as AddressInfo).port}`];
+};
+
+const service: ServiceIntent = {
+  name: 'settlement',
+  priority: Priority.Critical,
+  stableVersion: 'v1',
+  slots: 10,
+  connectionsMax: 16,
+  failureLimitPercent: 2,
+  latencyLimitMs: 250,
+};
+
+const routeOf = (isIdempotent: boolean): RouteIntent => ({
+  name: isIdempotent ? 'lookup' : 'settle',
+  service: service.name,
+  method: isIdempotent ? 'GET' : 'POST',
+  path: '/*',
+  isIdempotent,
+  deadlineMs: 2000,
+  retryBudgetPercent: 10,
+});
+
+/** What a test changes about a node. */
+export interface RigOptions {
+  readonly origin?: string;
+  readonly transport?: Partial<TransportOptions>;
+  readonly backend?: Partial<BackendClientOptions>;
+  readonly retryPolicy?: RetryPolicy;
+  /** Refusal of the admission, or undefined to admit. */
+  readonly admit?: () => CallRefusal | undefined;
+  readonly isAllowed?: () => boolean;
+}
+
+/** One node in this process; `members` of all nodes are chosen in the order of the list. */
+export class RigNode {
+  readonly reports: AttemptReport[] = [];
+
+  readonly evidence: CallEvidence[] = [];
+
+  unanswered = 0;
+
+  released = 0;
+
+  isServing = true;
+
+  readonly self: MemberRow;
+
+  readonly transport: Transport;
+
+  readonly receiver: BackendCallReceiver;
+
+  readonly calls: CallPath;
+
+  /** Members that this node may choose, first first. */
+  members: MemberRow[] = [];
+
+  readonly backend: UndiciBackendClient;
+
+  readonly #loop: TickLoop;
+
+  constructor(id: string, options: RigOptions = {}) {
+    this.self = {
+      id,
+      incarnation: 1000,
+      address: '127.0.0.1',
+      gossipPort: 0,
+      linkPort: 0,
+      callPort: 0,
+      region: 'hellas',
+      dataCentre: 'ath-1',
+      service: service.name,
+      backendVersion: 'v1',
+      state: MemberState.Alive,
+      configVersion: 1,
+      stateChangedAtMs: 0,
+    };
+    const logger = new SilentLogger();
+    const random = new SeededRandom(1);
+    const origin = options.origin ?? 'http://127.0.0.1:9';
+    this.backend = new UndiciBackendClient({ origin, connectionsMax: 16, ...options.backend });
+    const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 10 };
+    const admission: Admission = {
+      load: () => load,
+      admit: async () => {
+        const refusal = options.admit?.();
+        const release = (): void => {
+          this.released += 1;
+        };
+        return refusal ? { kind: 'refusal', refusal } : { kind: 'permit', permit: { release } };
+      },
+    };
+    const rollout = {
+      chooseVersion: () => 'v1',
+      isAllowed: options.isAllowed ?? (() => true),
+      statuses: () => [],
+    };
+    const evidence = {
+      recordEnded: (ended: CallEvidence) => {
+        this.evidence.push(ended);
+      },
+      recordUnanswered: () => {
+        this.unanswered += 1;
+      },
+    };
+    const { self, backend } = this;
+    this.receiver = new BackendCallReceiver({ self, rollout, admission, evidence, backend });
+    const { receiver } = this;
+    this.transport = createTransport({ self, receiver, logger, random, ...options.transport });
+    this.calls = createCallPath({
+      self,
+      rollout,
+      evidence,
+      receiver,
+      logger,
+      random,
+      sender: this.transport.sender,
+      sequence: this.transport.sequence,
+      snapshots: {
+        current: () => undefined,
+        isServing: () => this.isServing,
+        want: () => undefined,
+      },
+      router: {
+        match: (method, path) =>
+          path.startsWith('/none') ? undefined : { route: routeOf(method !== 'POST'), service },
+        choose: (_service, _version, tried) =>
+          this.members.find((member) => !tried.has(member.id)) ?? this.members[0],
+        begin: () => undefined,
+        report: (report) => {
+          this.reports.push(report);
+        },
+        recordFirstAttempt: () => undefined,
+        takeRetry: () => true,
+      },
+      ...(options.retryPolicy ? { retryPolicy: options.retryPolicy } : {}),
+    });
+    this.#loop = new TickLoop(this.transport.systems, (_name, error) => {
+      throw error;
+    });
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${this.calls.callPort}`;
+  }
+
+  /** Row of this node with its ports. */
+  get row(): MemberRow {
+    return { ...this.self, linkPort: this.transport.linkPort, callPort: this.calls.callPort };
+  }
+
+  async start(): Promise<this> {
+    await this.transport.start();
+    await this.calls.start();
+    this.#loop.start();
+    return this;
+  }
+
+  async stop(): Promise<void> {
+    this.#loop.stop();
+    await this.calls.stop();
+    await this.transport.stop();
+    await this.backend.close();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/body-channel.ts
@@ -0,0 +1,108 @@
+import { TransportError } from '@sequoiafield/errors';
+
+const joinChunks = (chunks: readonly Uint8Array[]): Uint8Array => {
+  const [first] = chunks;
+  return chunks.length === 1 && first ? first : Buffer.concat(chunks);
+};
+
+/** What a body channel tells the side that fills it. */
+export interface BodyChannelOwner {
+  /** The consumer took bytes, so that as many may be sent. */
+  onConsumed(bytes: number): void;
+  /** The consumer stopped before the end. */
+  onAbandoned(): void;
+}
+
+/**
+ * A body of one call between one producer and one consumer. A small body that is already complete
+ * is taken without any asynchronous step.
+ *
+ * @example
+ * const body = BodyChannel.of(Buffer.from('abc'));
+ * const whole = body.takeWhole();
+ */
+export class BodyChannel implements AsyncIterable<Uint8Array>, AsyncIterator<Uint8Array> {
+  #chunks: Uint8Array[] = [];
+
+  #isEnded = false;
+
+  #error: Error | undefined;
+
+  #wake: (() => void) | undefined;
+
+  constructor(private readonly owner?: BodyChannelOwner) {}
+
+  /** A body that is complete from the start. */
+  static of(bytes: Uint8Array | undefined): BodyChannel {
+    const channel = new BodyChannel();
+    if (bytes && bytes.byteLength > 0) channel.push(bytes);
+    channel.end();
+    return channel;
+  }
+
+  /** True once no byte follows, whether the body is complete or broken. */
+  get isSettled(): boolean {
+    return this.#isEnded || this.#error !== undefined;
+  }
+
+  push(chunk: Uint8Array): void {
+    if (this.isSettled) return;
+    this.#chunks.push(chunk);
+    this.#wakeConsumer();
+  }
+
+  end(): void {
+    if (this.isSettled) return;
+    this.#isEnded = true;
+    this.#wakeConsumer();
+  }
+
+  /** Breaks the body; the consumer sees the error instead of an end, and unread bytes are lost. */
+  fail(error: Error): void {
+    if (this.isSettled) return;
+    this.#error = error;
+    this.#chunks = [];
+    this.#wakeConsumer();
+  }
+
+  /** The rest of the body as one buffer if all of it has arrived, else undefined. */
+  takeWhole(): Uint8Array | undefined {
+    if (!this.#isEnded) return undefined;
+    const whole = joinChunks(this.#chunks);
+    this.#chunks = [];
+    return whole;
+  }
+
+  async next(): Promise<IteratorResult<Uint8Array, undefined>> {
+    for (;;) {
+      if (this.#error) throw this.#error;
+      const chunk = this.#chunks.shift();
+      if (chunk) {
+        this.owner?.onConsumed(chunk.byteLength);
+        return { done: false, value: chunk };
+      }
+      if (this.#isEnded) return { done: true, value: undefined };
+      await new Promise<void>((resolve) => {
+        this.#wake = resolve;
+      });
+    }
+  }
+
+  async return(): Promise<IteratorResult<Uint8Array, undefined>> {
+    if (!this.isSettled) {
+      this.fail(new TransportError('The body was abandoned by its consumer'));
+      this.owner?.onAbandoned();
+    }
+    return { done: true, value: undefined };
+  }
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  #wakeConsumer(): void {
+    const wake = this.#wake;
+    this.#wake = undefined;
+    wake?.();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/body-inflow.ts
@@ -0,0 +1,72 @@
+import { TransportError } from '@sequoiafield/errors';
+import { BodyChannel, type BodyChannelOwner } from './body-channel.js';
+import type { FrameSink } from './body-pump.js';
+import { decodeCount, decodeDataBytes, encodeCount, encodeFrame, FrameKind } from './frames.js';
+import type { TransportLimits } from './limits.js';
+
+/**
+ * Takes the data frames of one body: checks that none is missing or doubled, that the window and the
+ * size bound hold, and grants window as the consumer takes bytes.
+ */
+export class BodyInflow implements BodyChannelOwner {
+  readonly channel = new BodyChannel(this);
+
+  #receivedBytes = 0;
+
+  #consumedBytes = 0;
+
+  #grantedBytes: number;
+
+  constructor(
+    private readonly sink: FrameSink,
+    private readonly id: number,
+    private readonly limits: TransportLimits,
+    private readonly onBroken: () => void,
+  ) {
+    this.#grantedBytes = limits.windowBytes;
+  }
+
+  get hasReceived(): boolean {
+    return this.#receivedBytes > 0;
+  }
+
+  onData(payload: Buffer): void {
+    if (this.channel.isSettled) return;
+    const bytes = decodeDataBytes(payload);
+    const endBytes = this.#receivedBytes + bytes.byteLength;
+    if (decodeCount(payload) !== this.#receivedBytes) {
+      this.#break('A data frame is missing or doubled');
+    } else if (endBytes > this.#grantedBytes) {
+      this.#break(`The sender exceeded the window of ${this.limits.windowBytes} bytes`);
+    } else if (endBytes > this.limits.bodyMaxBytes) {
+      this.#break(`The body is larger than ${this.limits.bodyMaxBytes} bytes`);
+    } else {
+      this.#receivedBytes = endBytes;
+      this.channel.push(bytes);
+    }
+  }
+
+  onEnd(payload: Buffer): void {
+    if (this.channel.isSettled) return;
+    if (decodeCount(payload) !== this.#receivedBytes) this.#break('The body is truncated');
+    else this.channel.end();
+  }
+
+  onConsumed(bytes: number): void {
+    this.#consumedBytes += bytes;
+    const newlyBytes = this.#consumedBytes + this.limits.windowBytes - this.#grantedBytes;
+    // Granting in halves of the window keeps window frames rare.
+    if (this.channel.isSettled || newlyBytes < this.limits.windowBytes / 2) return;
+    this.#grantedBytes += newlyBytes;
+    this.sink.write(encodeFrame(FrameKind.Window, this.id, encodeCount(newlyBytes)));
+  }
+
+  onAbandoned(): void {
+    this.onBroken();
+  }
+
+  #break(message: string): void {
+    this.channel.fail(new TransportError(message));
+    this.onBroken();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/body-pump.ts
@@ -0,0 +1,86 @@
+import { dataFrameMaxBytes } from './limits.js';
+import { encodeCount, encodeData, encodeFrame, FrameKind } from './frames.js';
+
+/** Where frames are written; each array is the parts of one frame. */
+export interface FrameSink {
+  write(parts: readonly Uint8Array[]): void;
+}
+
+/**
+ * Sends one body as data frames, never more than the window ahead of the consumer.
+ *
+ * @example
+ * const pump = new BodyPump(connection, sequence, 256 * 1024);
+ * await pump.run(body);
+ */
+export class BodyPump {
+  #sentBytes = 0;
+
+  #isStopped = false;
+
+  #wake: (() => void) | undefined;
+
+  constructor(
+    private readonly sink: FrameSink,
+    private readonly id: number,
+    private creditBytes: number,
+  ) {}
+
+  /** Allows as many more bytes. */
+  credit(bytes: number): void {
+    this.creditBytes += bytes;
+    this.#wakeUp();
+  }
+
+  /** Ends the sending; nothing more is written. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#wakeUp();
+  }
+
+  /** Sends a whole body at once if the window holds it; says whether it did. */
+  runAtOnce(body: Uint8Array): boolean {
+    if (body.byteLength > Math.min(this.creditBytes, dataFrameMaxBytes)) return false;
+    if (body.byteLength > 0) this.#write(body);
+    this.#end();
+    return true;
+  }
+
+  /** Sends the whole body and its end; rejects with the error of the body. */
+  async run(body: AsyncIterable<Uint8Array> | Iterable<Uint8Array>): Promise<void> {
+    for await (const chunk of body) {
+      for (let at = 0; at < chunk.byteLength && !this.#isStopped;) {
+        while (this.creditBytes <= 0 && !this.#isStopped) await this.#waitForCredit();
+        const bytes = Math.min(chunk.byteLength - at, this.creditBytes, dataFrameMaxBytes);
+        if (!this.#isStopped) this.#write(chunk.subarray(at, at + bytes));
+        at += bytes;
+      }
+      if (this.#isStopped) return;
+    }
+    this.#end();
+  }
+
+  #write(bytes: Uint8Array): void {
+    this.sink.write(encodeData(this.id, this.#sentBytes, bytes));
+    this.#sentBytes += bytes.byteLength;
+    this.creditBytes -= bytes.byteLength;
+  }
+
+  #end(): void {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
+    this.sink.write(encodeFrame(FrameKind.End, this.id, encodeCount(this.#sentBytes)));
+  }
+
+  #waitForCredit(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#wake = resolve;
+    });
+  }
+
+  #wakeUp(): void {
+    const wake = this.#wake;
+    this.#wake = undefined;
+    wake?.();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/call-codec.ts
@@ -0,0 +1,105 @@
+import { Packr } from 'msgpackr';
+import type { AttemptId, CallAnswer, CallOpen, CallRefusal, LoadReport } from '@sequoiafield/types';
+
+type Wire = readonly unknown[];
+type Headers = readonly (readonly [string, string])[];
+
+/** Plain MessagePack: records would need state that both sides share. */
+const packr = new Packr({ useRecords: false, moreTypes: true });
+
+/** Encodes a value for a frame. */
+export const encodeValue = (value: unknown): Buffer => packr.pack(value);
+
+/** Decodes the payload of a frame. */
+export const decodeValue = (payload: Buffer): unknown => packr.unpack(payload);
+
+const flattenHeaders = (headers: Headers): string[] => {
+  const flat: string[] = [];
+  for (const [name, value] of headers) flat.push(name, value);
+  return flat;
+};
+
+const pairHeaders = (flat: readonly string[]): [string, string][] => {
+  const headers: [string, string][] = [];
+  for (let at = 0; at + 1 < flat.length; at += 2) {
+    headers.push([flat[at] as string, flat[at + 1] as string]);
+  }
+  return headers;
+};
+
+const loadToWire = (load: LoadReport | undefined): Wire | null =>
+  load ? [load.runningCalls, load.queuedCalls, load.slotsNow] : null;
+
+const loadFromWire = (wire: unknown): LoadReport | undefined => {
+  if (!Array.isArray(wire)) return undefined;
+  const [runningCalls, queuedCalls, slotsNow] = wire as [number, number, number];
+  return { runningCalls, queuedCalls, slotsNow };
+};
+
+/** Encodes the head of a call; arrays, since field names would be most of the bytes. */
+export const encodeOpen = (open: CallOpen): Buffer =>
+  packr.pack([
+    open.requestId,
+    open.attempt.senderId,
+    open.attempt.senderIncarnation,
+    open.attempt.receiverIncarnation,
+    open.service,
+    open.route,
+    open.backendVersion,
+    open.configVersion,
+    open.priority,
+    open.isIdempotent,
+    open.deadlineAtMs,
+    open.method,
+    open.path,
+    flattenHeaders(open.headers),
+  ]);
+
+/** Decodes the head of a call; `sequence` is the id of its frame. */
+export const decodeOpen = (sequence: number, payload: Buffer): CallOpen => {
+  const wire = packr.unpack(payload);
+  const attempt: AttemptId = {
+    senderId: wire[1],
+    senderIncarnation: wire[2],
+    sequence,
+    receiverIncarnation: wire[3],
+  };
+  return {
+    requestId: wire[0],
+    attempt,
+    service: wire[4],
+    route: wire[5],
+    backendVersion: wire[6],
+    configVersion: wire[7],
+    priority: wire[8],
+    isIdempotent: wire[9],
+    deadlineAtMs: wire[10],
+    method: wire[11],
+    path: wire[12],
+    headers: pairHeaders(wire[13]),
+  };
+};
+
+/** Head of an answer as it travels; the body follows in data frames. */
+export type AnswerHead = Omit<CallAnswer, 'body'>;
+
+export const encodeAnswer = (head: AnswerHead): Buffer =>
+  packr.pack([head.status, flattenHeaders(head.headers), loadToWire(head.load)]);
+
+export const decodeAnswer = (payload: Buffer): AnswerHead => {
+  const wire = packr.unpack(payload);
+  return {
+    status: wire[0],
+    headers: pairHeaders(wire[1]),
+    load: loadFromWire(wire[2]) ?? { runningCalls: 0, queuedCalls: 0, slotsNow: 0 },
+  };
+};
+
+export const encodeRefusal = (refusal: CallRefusal): Buffer =>
+  packr.pack([refusal.outcome, refusal.reason, refusal.detail, loadToWire(refusal.load)]);
+
+export const decodeRefusal = (payload: Buffer): CallRefusal => {
+  const wire = packr.unpack(payload);
+  const load = loadFromWire(wire[3]);
+  return { outcome: wire[0], reason: wire[1], detail: wire[2], ...(load ? { load } : {}) };
+};
--- /dev/null
+++ b/packages/transport/src/connection.ts
@@ -0,0 +1,180 @@
+import { monotonicNowMs } from '@sequoiafield/tables';
+import { WebSocket } from 'ws';
+import type { FrameSink } from './body-pump.js';
+import { decodeValue, encodeValue } from './call-codec.js';
+import type { TransportCounters } from './counters.js';
+import { encodeFrame, FrameKind, readFrames } from './frames.js';
+import { LinkClock } from './link-clock.js';
+
+const protocolVersion = 1;
+
+/** Identity of one end of a link. */
+export interface PeerIdentity {
+  readonly id: string;
+  readonly incarnation: number;
+}
+
+/** What a connection tells the side that owns it. */
+export interface ConnectionOwner {
+  /** The hellos are exchanged. */
+  onReady(peer: PeerIdentity): void;
+  onFrame(kind: FrameKind, id: number, payload: Buffer): void;
+  /** Called once; no frame follows. */
+  onClosed(): void;
+}
+
+/** Steps of the echo exchange; each side places the other's clock with one round trip. */
+enum HeartbeatStep {
+  Ping = 0,
+  Pong = 1,
+  Ack = 2,
+}
+
+/**
+ * One WebSocket between two nodes: hellos, heartbeats with clock echoes, and frames of one loop turn
+ * batched into one message.
+ */
+export class Connection implements FrameSink {
+  readonly clock = new LinkClock();
+
+  /** Time without any message, counted by ticks, so that a pause of this process does not count. */
+  silentMs = 0;
+
+  /** Number of batches handed to the socket so far. */
+  flushes = 0;
+
+  #parts: Uint8Array[] = [];
+
+  #isFlushScheduled = false;
+
+  #peer: PeerIdentity | undefined;
+
+  #isClosed = false;
+
+  constructor(
+    private readonly socket: WebSocket,
+    private readonly self: PeerIdentity,
+    private readonly isDialer: boolean,
+    private readonly owner: ConnectionOwner,
+    private readonly counters: TransportCounters,
+  ) {
+    socket.on('message', (message: Buffer) => this.#onMessage(message));
+    socket.on('open', () => this.#sendHello());
+    socket.on('error', () => this.terminate());
+    socket.on('close', () => this.#onClosed());
+  }
+
+  get isReady(): boolean {
+    return this.#peer !== undefined && !this.#isClosed;
+  }
+
+  get peer(): PeerIdentity | undefined {
+    return this.#peer;
+  }
+
+  /** Adds a frame to the batch of this loop turn; dropped if the connection is closed. */
+  write(parts: readonly Uint8Array[]): void {
+    if (this.#isClosed) return;
+    for (const part of parts) this.#parts.push(part);
+    this.counters.framesSent += 1;
+    if (this.#isFlushScheduled) return;
+    this.#isFlushScheduled = true;
+    setImmediate(() => this.flush());
+  }
+
+  /** Hands the batch to the socket; what is not handed over was certainly never written. */
+  flush(): void {
+    this.#isFlushScheduled = false;
+    if (this.#isClosed || this.#parts.length === 0) return;
+    const parts = this.#parts;
+    this.#parts = [];
+    if (this.socket.readyState !== WebSocket.OPEN) return;
+    this.flushes += 1;
+    this.counters.messagesSent += 1;
+    this.socket.send(parts.length === 1 ? parts[0]! : Buffer.concat(parts));
+  }
+
+  ping(): void {
+    this.#sendHeartbeat(HeartbeatStep.Ping, null);
+  }
+
+  /** Ends the connection at once. */
+  terminate(): void {
+    this.socket.terminate();
+    this.#onClosed();
+  }
+
+  /** Sends what is batched and closes. */
+  close(): void {
+    this.flush();
+    this.socket.close();
+    this.#onClosed();
+  }
+
+  #sendHello(): void {
+    const { id, incarnation } = this.self;
+    const hello = [protocolVersion, id, incarnation, monotonicNowMs()];
+    this.write(encodeFrame(FrameKind.Hello, 0, encodeValue(hello)));
+  }
+
+  #sendHeartbeat(step: HeartbeatStep, echoMs: number | null): void {
+    const payload = encodeValue([step, monotonicNowMs(), echoMs]);
+    this.write(encodeFrame(FrameKind.Heartbeat, 0, payload));
+  }
+
+  #onMessage(message: Buffer): void {
+    this.silentMs = 0;
+    try {
+      readFrames(message, (kind, id, payload) => this.#onFrame(kind, id, payload));
+    } catch {
+      // Frames after a malformed one cannot be told apart, so nothing more is read from this peer.
+      this.terminate();
+    }
+  }
+
+  #onFrame(kind: FrameKind, id: number, payload: Buffer): void {
+    if (this.#isClosed) return;
+    if (kind === FrameKind.Hello) this.#onHello(payload);
+    else if (!this.#peer) this.terminate();
+    else if (kind === FrameKind.Heartbeat) this.#onHeartbeat(payload);
+    else this.owner.onFrame(kind, id, payload);
+  }
+
+  #onHello(payload: Buffer): void {
+    const [version, id, incarnation, peerNowMs] = decodeValue(payload) as [
+      number,
+      string,
+      number,
+      number,
+    ];
+    if (version !== protocolVersion || this.#peer) {
+      this.terminate();
+      return;
+    }
+    this.#peer = { id, incarnation };
+    // The acceptor places the dialer's clock from this ack, which precedes the first open frame.
+    if (this.isDialer) this.#sendHeartbeat(HeartbeatStep.Ack, peerNowMs);
+    else this.#sendHello();
+    this.owner.onReady(this.#peer);
+  }
+
+  #onHeartbeat(payload: Buffer): void {
+    const [step, peerNowMs, echoMs] = decodeValue(payload) as [
+      HeartbeatStep,
+      number,
+      number | null,
+    ];
+    const nowMs = monotonicNowMs();
+    if (echoMs === null) this.clock.check(peerNowMs, nowMs);
+    else this.clock.sample(echoMs, peerNowMs, nowMs);
+    if (step === HeartbeatStep.Ping) this.#sendHeartbeat(HeartbeatStep.Pong, peerNowMs);
+    else if (step === HeartbeatStep.Pong) this.#sendHeartbeat(HeartbeatStep.Ack, peerNowMs);
+  }
+
+  #onClosed(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#parts = [];
+    this.owner.onClosed();
+  }
+}
--- /dev/null
+++ b/packages/transport/src/inbound-call.ts
@@ -0,0 +1,94 @@
+import { TransportError } from '@sequoiafield/errors';
+import {
+  RefusalOutcome,
+  RefusalReason,
+  type CallAnswer,
+  type CallOpen,
+  type CallReceiver,
+  type CallRefusal,
+  type CallResult,
+} from '@sequoiafield/types';
+import { BodyChannel } from './body-channel.js';
+import { BodyInflow } from './body-inflow.js';
+import { BodyPump } from './body-pump.js';
+import { encodeAnswer, encodeRefusal } from './call-codec.js';
+import type { Connection } from './connection.js';
+import { decodeCount, encodeFrame, FrameKind } from './frames.js';
+import type { TransportLimits } from './limits.js';
+
+/** Receiving side of one attempt, from its open frame until its answer is sent. */
+export class InboundCall {
+  readonly #controller = new AbortController();
+
+  readonly #inflow: BodyInflow;
+
+  readonly #pump: BodyPump;
+
+  constructor(
+    private readonly open: CallOpen,
+    private readonly connection: Connection,
+    limits: TransportLimits,
+    private readonly onOver: (sequence: number) => void,
+  ) {
+    const { sequence } = open.attempt;
+    this.#inflow = new BodyInflow(connection, sequence, limits, () => undefined);
+    this.#pump = new BodyPump(connection, sequence, limits.windowBytes);
+  }
+
+  /** Runs the call and sends its result. */
+  async run(receiver: CallReceiver): Promise<void> {
+    let result: CallResult;
+    try {
+      result = await receiver.receive(this.open, this.#inflow.channel, this.#controller.signal);
+    } catch (error) {
+      result = { kind: 'refusal', refusal: this.#failure(error) };
+    }
+    if (this.#controller.signal.aborted) {
+      // The sender ended this attempt and would drop the result as late.
+      if (result.kind === 'answer') await result.answer.body[Symbol.asyncIterator]().return?.();
+    } else if (result.kind === 'refusal') {
+      this.#write(FrameKind.Refuse, encodeRefusal(result.refusal));
+    } else {
+      await this.#answer(result.answer);
+    }
+    this.onOver(this.open.attempt.sequence);
+  }
+
+  onFrame(kind: FrameKind, payload: Buffer): void {
+    if (kind === FrameKind.Data) this.#inflow.onData(payload);
+    else if (kind === FrameKind.End) this.#inflow.onEnd(payload);
+    else if (kind === FrameKind.Window) this.#pump.credit(decodeCount(payload));
+    else if (kind === FrameKind.Cancel) this.abort('The sender cancelled the call');
+  }
+
+  /** Ends the call without an answer. */
+  abort(why: string): void {
+    this.#inflow.channel.fail(new TransportError(why));
+    this.#pump.stop();
+    this.#controller.abort(new TransportError(why));
+  }
+
+  async #answer(answer: CallAnswer): Promise<void> {
+    this.#write(FrameKind.Answer, encodeAnswer(answer));
+    const { body } = answer;
+    const whole = body instanceof BodyChannel ? body.takeWhole() : undefined;
+    if (whole && this.#pump.runAtOnce(whole)) return;
+    try {
+      await this.#pump.run(whole ? [whole] : body);
+    } catch {
+      this.#write(FrameKind.Reset);
+    }
+  }
+
+  #failure(error: unknown): CallRefusal {
+    return {
+      outcome: RefusalOutcome.Unknown,
+      reason: RefusalReason.BackendServerFailed,
+      detail: error instanceof Error ? error.message : String(error),
+    };
+  }
+
+  #write(kind: FrameKind, payload?: Uint8Array): void {
+    this.connection.write(encodeFrame(kind, this.open.attempt.sequence, payload));
+  }
+}
--- /dev/null
+++ b/packages/transport/src/link-system.ts
@@ -0,0 +1,30 @@
+import type { System, Tick } from '@sequoiafield/tables';
+import { tickIntervalMs } from '@sequoiafield/types';
+import type { AttemptGuard } from './attempt-guard.js';
+import type { InboundSession } from './inbound-session.js';
+import type { TransportLimits } from './limits.js';
+import type { OutboundLink } from './outbound-link.js';
+
+/** Runs heartbeats, stall detection and reconnects of every link each tick. */
+export class LinkSystem implements System {
+  readonly name = 'links';
+
+  constructor(
+    private readonly links: Map<string, OutboundLink>,
+    private readonly accepted: ReadonlySet<InboundSession>,
+    private readonly guard: AttemptGuard,
+    private readonly limits: TransportLimits,
+  ) {}
+
+  run(tick: Tick): void {
+    for (const [id, link] of this.links) {
+      link.run(tick);
+      if (link.isClosed) this.links.delete(id);
+    }
+    for (const { connection } of this.accepted) {
+      connection.silentMs += Math.min(tick.elapsedMs, 2 * tickIntervalMs);
+      if (connection.silentMs > this.limits.acceptedSilentMs) connection.terminate();
+    }
+    this.guard.sweep(tick.nowMs);
+  }
+}
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -50,6 +50,7 @@
   LinkLost = 'link-lost',
   Cancelled = 'cancelled',
   BackendServerFailed = 'backend-server-failed',
+  BackendServerRefused = 'backend-server-refused',
 }
 
 /** Verdict on a move; `TakenBack` is final and spreads without the store. */
