Test the links under doubled, late, crossed and silent traffic

Cause: the invariants on complete answers, true refusals and single runs rest on the link, and nothing showed that the tests notice a violation.

A refusal of a moved attempt no longer says "not run", since the attempt before it may have run.

--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -3,6 +3,7 @@
 import { BodyChannel } from '@sequoiafield/transport';
 import { outcomeHeader, reasonHeader, requestIdHeader } from '@sequoiafield/types';
 import type { CallAnswer, CallRefusal } from '@sequoiafield/types';
+import { bodilessStatuses } from './headers.js';
 import { statusOf } from './refusals.js';
 
 const flattenHeaders = (answer: CallAnswer, requestId: string): string[] => {
@@ -22,12 +23,16 @@
   async writeAnswer(answer: CallAnswer): Promise<boolean> {
     const { response } = this;
     const { body } = answer;
-    response.writeHead(answer.status, flattenHeaders(answer, this.requestId));
     const whole = body instanceof BodyChannel ? body.takeWhole() : undefined;
+    const headers = flattenHeaders(answer, this.requestId);
     if (whole) {
+      // A length spares the caller the chunked coding.
+      if (this.#needsLength(answer)) headers.push('content-length', String(whole.byteLength));
+      response.writeHead(answer.status, headers);
       response.end(whole);
       return true;
     }
+    response.writeHead(answer.status, headers);
     try {
       await this.#stream(body);
       return true;
@@ -61,6 +66,11 @@
     response.end(response.req.method === 'HEAD' ? undefined : body);
   }
 
+  #needsLength(answer: CallAnswer): boolean {
+    if (this.response.req.method === 'HEAD' || bodilessStatuses.has(answer.status)) return false;
+    return !answer.headers.some(([name]) => name === 'content-length');
+  }
+
   async #stream(body: AsyncIterable<Uint8Array>): Promise<void> {
     const { response } = this;
     for await (const chunk of body) {
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -6,6 +6,7 @@
 import {
   backendRefusedHeader,
   backendRefusedNotRun,
+  bodilessStatuses,
   findHeader,
   forwardAnswerHeaders,
 } from './headers.js';
@@ -16,8 +17,6 @@
 const bufferMaxBytes = 256 * 1024;
 const statusUnavailable = 503;
 const statusServerError = 500;
-/** Statuses whose answers never have a body (RFC 9110, section 6.4.1). */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 const readRaw = (raw: readonly (Buffer | string)[]): string[] =>
   raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -15,13 +15,14 @@
 import type { CallPathOptions } from './call-path-options.js';
 import { CallRun } from './call-run.js';
 import { CallScope } from './call-scope.js';
+import type { CallTracker } from './call-tracker.js';
+import type { CallCounters } from './counters.js';
 import { forwardRequestHeaders } from './headers.js';
 import { pathOf, readDeadlineMs, readRequestId } from './inbound-call.js';
 import { notRun, refused } from './refusals.js';
 import { RequestBodyReader, type RequestBody } from './request-body.js';
 import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
 import { RunningCalls } from './running-calls.js';
-import type { CallCounters } from './counters.js';
 
 /** Idle time after which a caller's connection is closed; longer than common client limits. */
 const keepAliveTimeoutMs = 75_000;
@@ -34,7 +35,7 @@
 
   readonly #policy: RetryPolicy;
 
-  readonly #running = new RunningCalls();
+  readonly #running: CallTracker;
 
   #isDraining = false;
 
@@ -42,6 +43,7 @@
 
   constructor(private readonly options: CallPathOptions) {
     this.counters = options.receiver.counters;
+    this.#running = options.tracker ?? new RunningCalls();
     this.#policy = options.retryPolicy ?? new SafeRetryPolicy();
     this.#server = fastify({
       logger: false,
--- a/packages/calls/src/headers.ts
+++ b/packages/calls/src/headers.ts
@@ -14,6 +14,9 @@
 /** Value of `backendRefusedHeader`; anything else says nothing. */
 export const backendRefusedNotRun = 'not-run';
 
+/** Statuses whose answers never have a body (RFC 9110, section 6.4.1). */
+export const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Headers of one hop (RFC 9110, section 7.6.1); they are not forwarded. */
 const hopByHopHeaders = new Set([
   'connection',
--- a/packages/calls/src/running-calls.ts
+++ b/packages/calls/src/running-calls.ts
@@ -1,5 +1,7 @@
-/** Calls that run now, by request id; lets a drain wait for them. */
-export class RunningCalls {
+import type { CallTracker } from './call-tracker.js';
+
+/** Counts calls by request id. */
+export class RunningCalls implements CallTracker {
   readonly #counts = new Map<string, number>();
 
   #size = 0;
@@ -10,12 +12,10 @@
     return this.#size;
   }
 
-  /** Whether a call with this request id runs. */
   has(requestId: string): boolean {
     return this.#counts.has(requestId);
   }
 
-  /** Counts a call as running until the returned function is called. */
   begin(requestId: string): () => void {
     this.#size += 1;
     this.#counts.set(requestId, (this.#counts.get(requestId) ?? 0) + 1);
@@ -27,7 +27,6 @@
     };
   }
 
-  /** Resolves once no call runs. */
   whenIdle(): Promise<void> {
     if (this.#size === 0) return Promise.resolve();
     return new Promise((resolve) => {
--- a/packages/transport/src/body-inflow.ts
+++ b/packages/transport/src/body-inflow.ts
@@ -1,4 +1,5 @@
 import { TransportError } from '@sequoiafield/errors';
+import type { BodyCheck } from './body-check.js';
 import { BodyChannel, type BodyChannelOwner } from './body-channel.js';
 import type { FrameSink } from './body-pump.js';
 import { decodeCount, decodeDataBytes, encodeCount, encodeFrame, FrameKind } from './frames.js';
@@ -21,20 +22,17 @@
     private readonly sink: FrameSink,
     private readonly id: number,
     private readonly limits: TransportLimits,
+    private readonly bodyCheck: BodyCheck,
     private readonly onBroken: () => void,
   ) {
     this.#grantedBytes = limits.windowBytes;
   }
 
-  get hasReceived(): boolean {
-    return this.#receivedBytes > 0;
-  }
-
   onData(payload: Buffer): void {
     if (this.channel.isSettled) return;
     const bytes = decodeDataBytes(payload);
     const endBytes = this.#receivedBytes + bytes.byteLength;
-    if (decodeCount(payload) !== this.#receivedBytes) {
+    if (!this.bodyCheck.continues(decodeCount(payload), this.#receivedBytes)) {
       this.#break('A data frame is missing or doubled');
     } else if (endBytes > this.#grantedBytes) {
       this.#break(`The sender exceeded the window of ${this.limits.windowBytes} bytes`);
@@ -48,7 +46,8 @@
 
   onEnd(payload: Buffer): void {
     if (this.channel.isSettled) return;
-    if (decodeCount(payload) !== this.#receivedBytes) this.#break('The body is truncated');
+    const isComplete = this.bodyCheck.isComplete(decodeCount(payload), this.#receivedBytes);
+    if (!isComplete) this.#break('The body is truncated');
     else this.channel.end();
   }
 
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -4,7 +4,7 @@
 import { decodeValue, encodeValue } from './call-codec.js';
 import type { TransportCounters } from './counters.js';
 import { encodeFrame, FrameKind, readFrames } from './frames.js';
-import { LinkClock } from './link-clock.js';
+import type { PeerClock } from './link-clock.js';
 
 const protocolVersion = 1;
 
@@ -35,8 +35,6 @@
  * batched into one message.
  */
 export class Connection implements FrameSink {
-  readonly clock = new LinkClock();
-
   /** Time without any message, counted by ticks, so that a pause of this process does not count. */
   silentMs = 0;
 
@@ -57,6 +55,7 @@
     private readonly isDialer: boolean,
     private readonly owner: ConnectionOwner,
     private readonly counters: TransportCounters,
+    readonly clock: PeerClock,
   ) {
     socket.on('message', (message: Buffer) => this.#onMessage(message));
     socket.on('open', () => this.#sendHello());
--- a/packages/transport/src/inbound-call.ts
+++ b/packages/transport/src/inbound-call.ts
@@ -8,6 +8,7 @@
   type CallRefusal,
   type CallResult,
 } from '@sequoiafield/types';
+import type { BodyCheck } from './body-check.js';
 import { BodyChannel } from './body-channel.js';
 import { BodyInflow } from './body-inflow.js';
 import { BodyPump } from './body-pump.js';
@@ -28,10 +29,11 @@
     private readonly open: CallOpen,
     private readonly connection: Connection,
     limits: TransportLimits,
+    bodyCheck: BodyCheck,
     private readonly onOver: (sequence: number) => void,
   ) {
     const { sequence } = open.attempt;
-    this.#inflow = new BodyInflow(connection, sequence, limits, () => undefined);
+    this.#inflow = new BodyInflow(connection, sequence, limits, bodyCheck, () => undefined);
     this.#pump = new BodyPump(connection, sequence, limits.windowBytes);
   }
 
@@ -76,6 +78,7 @@
     try {
       await this.#pump.run(whole ? [whole] : body);
     } catch {
+      // The sender has the head of the answer and must not take what came for the whole.
       this.#write(FrameKind.Reset);
     }
   }
--- a/packages/transport/src/inbound-session.ts
+++ b/packages/transport/src/inbound-session.ts
@@ -8,13 +8,14 @@
   type LinkRequestKind,
 } from '@sequoiafield/types';
 import type { WebSocket } from 'ws';
-import { AttemptVerdict, type AttemptGuard } from './attempt-guard.js';
+import { AttemptVerdict } from './attempt-guard.js';
 import { decodeOpen, decodeValue, encodeRefusal, encodeValue } from './call-codec.js';
 import { Connection, type ConnectionOwner, type PeerIdentity } from './connection.js';
 import type { TransportCounters } from './counters.js';
 import { encodeFrame, FrameKind } from './frames.js';
 import { InboundCall } from './inbound-call.js';
 import type { TransportLimits } from './limits.js';
+import type { TransportMechanisms } from './mechanisms.js';
 
 /** Answers requests of one kind. */
 export type RequestHandler = (body: unknown, fromId: string) => unknown | Promise<unknown>;
@@ -23,7 +24,7 @@
 export interface InboundContext {
   readonly self: PeerIdentity;
   readonly receiver: CallReceiver;
-  readonly guard: AttemptGuard;
+  readonly mechanisms: TransportMechanisms;
   readonly limits: TransportLimits;
   readonly counters: TransportCounters;
   readonly handlers: ReadonlyMap<LinkRequestKind, RequestHandler>;
@@ -47,8 +48,14 @@
     socket: WebSocket,
     private readonly context: InboundContext,
   ) {
-    const { self, counters } = context;
-    this.connection = new Connection(socket, self, false, this, counters);
+    const { self, counters, mechanisms } = context;
+    const clock = mechanisms.createClock();
+    this.connection = new Connection(socket, self, false, this, counters, clock);
+  }
+
+  /** Calls whose answer is not sent to its end yet. */
+  get size(): number {
+    return this.#calls.size;
   }
 
   onReady(): void {
@@ -88,6 +95,7 @@
       { ...sent, deadlineAtMs },
       this.connection,
       this.context.limits,
+      this.context.mechanisms.bodyCheck,
       (over) => this.#calls.delete(over),
     );
     this.#calls.set(sequence, call);
@@ -103,7 +111,7 @@
     const deadlineAtMs = clock.toLocalMs(open.deadlineAtMs);
     // Without a clock sample a late frame could not be told from one in time.
     if (deadlineAtMs === undefined) return AttemptVerdict.DeadlinePassed;
-    return this.context.guard.check(attempt, deadlineAtMs, monotonicNowMs());
+    return this.context.mechanisms.guard.check(attempt, deadlineAtMs, monotonicNowMs());
   }
 
   #refuse(sequence: number, reason: RefusalReason, detail: string): void {
--- a/packages/transport/src/link-clock.ts
+++ b/packages/transport/src/link-clock.ts
@@ -5,6 +5,10 @@
 
 /** Converts times of the peer's monotonic clock to this node's. */
 export interface PeerClock {
+  /** Adds an echo; all times in ms, `echoMs` and `nowMs` on this node's clock. */
+  sample(echoMs: number, peerNowMs: number, nowMs: number): void;
+  /** Checks a timestamp without an echo against the samples. */
+  check(peerNowMs: number, nowMs: number): void;
   /** Conservative local time of a time on the peer's clock, or undefined before the first sample. */
   toLocalMs(peerMs: number): number | undefined;
 }
@@ -24,7 +28,6 @@
 
   #lowAtMs = 0;
 
-  /** Adds an echo; all times in ms, `echoMs` and `nowMs` on this node's clock. */
   sample(echoMs: number, peerNowMs: number, nowMs: number): void {
     this.check(peerNowMs, nowMs);
     const sampleMs = echoMs - peerNowMs;
--- a/packages/transport/src/outbound-attempt.ts
+++ b/packages/transport/src/outbound-attempt.ts
@@ -14,6 +14,7 @@
 import type { Exchange } from './exchange.js';
 import { decodeCount, encodeFrame, FrameKind } from './frames.js';
 import type { TransportLimits } from './limits.js';
+import type { TransportMechanisms } from './mechanisms.js';
 import type { OutboundSession } from './outbound-session.js';
 
 type RequestBody = AsyncIterable<Uint8Array> | Uint8Array | undefined;
@@ -23,6 +24,7 @@
   readonly sequence: AttemptSequence;
   readonly limits: TransportLimits;
   readonly counters: TransportCounters;
+  readonly mechanisms: TransportMechanisms;
 }
 
 /** Caller's side of one attempt: open frame, request body, answer and its body. */
@@ -62,11 +64,6 @@
     return this.open.attempt.sequence;
   }
 
-  /** Whether it was given to a connection. */
-  get isStarted(): boolean {
-    return this.#session !== undefined;
-  }
-
   start(session: OutboundSession): void {
     this.#session = session;
     const { connection } = session;
@@ -84,7 +81,7 @@
     else if (kind === FrameKind.Answer && !this.#inflow) this.#onAnswer(payload);
     else if (kind === FrameKind.Refuse && !this.#inflow) {
       this.#pump?.stop();
-      this.#refuse(decodeRefusal(payload));
+      this.#onRefuse(decodeRefusal(payload));
     } else if (kind === FrameKind.Data && this.#inflow) this.#inflow.onData(payload);
     else if (kind === FrameKind.End && this.#inflow) {
       this.#inflow.onEnd(payload);
@@ -104,7 +101,8 @@
       return false;
     }
     const isReplayable = this.body === undefined || this.body instanceof Uint8Array;
-    const maySendAgain = this.open.isIdempotent || !this.#mayHaveRun;
+    const { movePolicy } = this.context.mechanisms;
+    const maySendAgain = movePolicy.mayMove(this.open.isIdempotent, this.#mayHaveRun);
     if (isReplayable && maySendAgain && !this.#hasMoved) {
       // A new id, since the receiver may have seen the old one and drops duplicates.
       const attempt = { ...this.open.attempt, sequence: this.context.sequence.next() };
@@ -132,15 +130,24 @@
   #onAnswer(payload: Buffer): void {
     const session = this.#session!;
     const { sequence } = this;
-    const inflow = new BodyInflow(session.connection, sequence, this.context.limits, () => {
+    const { limits, mechanisms } = this.context;
+    const onBroken = (): void => {
       session.connection.write(encodeFrame(FrameKind.Cancel, sequence));
       this.#end();
-    });
+    };
+    const { connection } = session;
+    const inflow = new BodyInflow(connection, sequence, limits, mechanisms.bodyCheck, onBroken);
     this.#inflow = inflow;
     const head = decodeAnswer(payload);
     this.#resolve({ kind: 'answer', answer: { ...head, body: inflow.channel } });
   }
 
+  #onRefuse(refusal: CallRefusal): void {
+    // The refusal speaks of the moved attempt only; the first one may have run.
+    const isTrue = refusal.outcome !== RefusalOutcome.NotRun || !this.#mayHaveRun;
+    this.#refuse(isTrue ? refusal : { ...refusal, outcome: RefusalOutcome.Unknown });
+  }
+
   #pumpBody(pump: BodyPump, body: Iterable<Uint8Array> | AsyncIterable<Uint8Array>): void {
     pump.run(body).catch(() => {
       // The request body broke off: the receiver must not take it for complete.
--- a/packages/transport/src/outbound-link.ts
+++ b/packages/transport/src/outbound-link.ts
@@ -6,6 +6,7 @@
 import type { TransportCounters } from './counters.js';
 import type { Exchange } from './exchange.js';
 import type { TransportLimits } from './limits.js';
+import type { TransportMechanisms } from './mechanisms.js';
 import { OutboundSession, type OutboundSessionOwner } from './outbound-session.js';
 
 /** What the links of a transport share. */
@@ -13,6 +14,7 @@
   readonly self: PeerIdentity;
   readonly limits: TransportLimits;
   readonly counters: TransportCounters;
+  readonly mechanisms: TransportMechanisms;
   readonly logger: Logger;
   readonly random: RandomSource;
   /** Opens a WebSocket to a member. */
@@ -54,6 +56,11 @@
     return this.#isClosed;
   }
 
+  /** Exchanges that run or wait. */
+  get size(): number {
+    return this.#waiting.length + (this.#active?.size ?? 0);
+  }
+
   /** Starts an exchange now, or as soon as a connection is proven. */
   start(exchange: Exchange): void {
     this.#usedAtMs = monotonicNowMs();
@@ -70,8 +77,9 @@
     this.#active?.connection.write(parts);
   }
 
-  /** Removes an exchange that ended before it was started. */
+  /** Removes an exchange that ended while it waited for a connection. */
   forget(exchange: Exchange): void {
+    if (this.#waiting.length === 0) return;
     this.#waiting = this.#waiting.filter((other) => other !== exchange);
   }
 
@@ -165,8 +173,9 @@
       return;
     }
     this.#candidateAtMs = nowMs;
-    const { self, counters } = this.context;
-    this.#candidate = new OutboundSession(this.context.dial(this.member), self, this, counters);
+    const { self, counters, mechanisms } = this.context;
+    const socket = this.context.dial(this.member);
+    this.#candidate = new OutboundSession(socket, self, this, counters, mechanisms);
   }
 
   #noteFailure(): void {
--- a/packages/transport/src/outbound-session.ts
+++ b/packages/transport/src/outbound-session.ts
@@ -3,6 +3,7 @@
 import type { TransportCounters } from './counters.js';
 import type { Exchange } from './exchange.js';
 import { FrameKind } from './frames.js';
+import type { TransportMechanisms } from './mechanisms.js';
 
 /** What a session tells its link. */
 export interface OutboundSessionOwner {
@@ -28,8 +29,10 @@
     self: PeerIdentity,
     private readonly owner: OutboundSessionOwner,
     private readonly counters: TransportCounters,
+    private readonly mechanisms: TransportMechanisms,
   ) {
-    this.connection = new Connection(socket, self, true, this, counters);
+    const clock = mechanisms.createClock();
+    this.connection = new Connection(socket, self, true, this, counters, clock);
   }
 
   get size(): number {
@@ -41,12 +44,6 @@
     exchange.start(this);
   }
 
-  /** Whether the first frame of an exchange may have reached the network. */
-  isWritten(sequence: number): boolean {
-    const entry = this.#entries.get(sequence);
-    return entry === undefined || this.connection.flushes > entry.batch;
-  }
-
   /** Ends an exchange; frames for it that still come are late. */
   finish(sequence: number): void {
     this.#entries.delete(sequence);
@@ -61,7 +58,7 @@
       if (this.connection.peer) this.owner.onPeerDraining(this.connection.peer);
       return;
     }
-    const entry = this.#entries.get(id);
+    const entry = this.mechanisms.matcher.match(id, this.#entries);
     if (entry) entry.exchange.onFrame(kind, payload);
     else if (kind !== FrameKind.Window) this.counters.lateFramesDropped += 1;
   }
--- /dev/null
+++ b/packages/transport/src/test-support/nodes.ts
@@ -0,0 +1,99 @@
+import { SilentLogger } from '@sequoiafield/logger';
+import { SeededRandom, TickLoop } from '@sequoiafield/tables';
+import type { CallOpen, CallResult, MemberAnnouncement } from '@sequoiafield/types';
+import { BodyChannel, createTransport, type Transport, type TransportOptions } from '../index.js';
+
+type Receive = (
+  open: CallOpen,
+  body: AsyncIterable<Uint8Array>,
+  signal: AbortSignal,
+) => Promise<CallResult>;
+
+const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 10 };
+
+/** Answer with a body. */
+export const answerWith = (body: AsyncIterable<Uint8Array> | string): CallResult => ({
+  kind: 'answer',
+  answer: {
+    status: 200,
+    headers: [],
+    body: typeof body === 'string' ? BodyChannel.of(Buffer.from(body)) : body,
+    load,
+  },
+});
+
+/** Reads a body as text; an error of the body is returned as its message. */
+export const readBody = async (body: AsyncIterable<Uint8Array>): Promise<string> => {
+  const chunks: Uint8Array[] = [];
+  try {
+    for await (const chunk of body) chunks.push(chunk);
+  } catch (error) {
+    return `broken: ${(error as Error).message}`;
+  }
+  return Buffer.concat(chunks).toString();
+};
+
+/** What a caller sees of a result, as text. */
+export const describeResult = async (result: CallResult): Promise<string> =>
+  result.kind === 'refusal'
+    ? `${result.refusal.outcome} ${result.refusal.reason}`
+    : `answer ${await readBody(result.answer.body)}`;
+
+/** One transport that ticks; ids of the calls that it ran are in `ran`. */
+export class TestNode {
+  readonly ran: string[] = [];
+
+  readonly transport: Transport;
+
+  readonly #loop: TickLoop;
+
+  constructor(
+    id: string,
+    receive: Receive = async (open) => answerWith(`for ${open.requestId}`),
+    options: Partial<TransportOptions> = {},
+  ) {
+    const receiver = {
+      receive: (open: CallOpen, body: AsyncIterable<Uint8Array>, signal: AbortSignal) => {
+        this.ran.push(open.requestId);
+        return receive(open, body, signal);
+      },
+    };
+    this.transport = createTransport({
+      self: TestNode.member(id, 0),
+      receiver,
+      logger: new SilentLogger(),
+      random: new SeededRandom(1),
+      ...options,
+    });
+    this.#loop = new TickLoop(this.transport.systems, (_name, error) => {
+      throw error;
+    });
+  }
+
+  /** Announcement of a node on loopback. */
+  static member(id: string, linkPort: number): MemberAnnouncement {
+    return {
+      id,
+      incarnation: 1000,
+      address: '127.0.0.1',
+      gossipPort: 0,
+      linkPort,
+      callPort: 0,
+      region: 'hellas',
+      dataCentre: 'ath-1',
+      service: 'settlement',
+      backendVersion: 'v1',
+    };
+  }
+
+  async start(): Promise<this> {
+    await this.transport.start();
+    this.#loop.start();
+    return this;
+  }
+
+  async stop(): Promise<void> {
+    this.#loop.stop();
+    await this.transport.stop();
+  }
+}
--- a/packages/transport/src/transport.ts
+++ b/packages/transport/src/transport.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout } from 'node:timers/promises';
 import { TransportError } from '@sequoiafield/errors';
 import type { Logger } from '@sequoiafield/logger';
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
@@ -16,17 +17,19 @@
 } from '@sequoiafield/types';
 import { WebSocket, WebSocketServer } from 'ws';
 import { AttemptSequence } from './attempt-sequence.js';
-import type { AttemptGuard } from './attempt-guard.js';
 import type { PeerIdentity } from './connection.js';
 import { TransportCounters } from './counters.js';
 import { encodeFrame, FrameKind } from './frames.js';
 import { InboundSession, type RequestHandler } from './inbound-session.js';
 import { LinkSystem } from './link-system.js';
 import { defaultTransportLimits, messageMaxBytes, type TransportLimits } from './limits.js';
+import { createMechanisms, type TransportMechanisms } from './mechanisms.js';
 import { OutboundAttempt } from './outbound-attempt.js';
 import { OutboundLink, type LinkContext } from './outbound-link.js';
 import { OutboundRequest } from './outbound-request.js';
-import { SeenAttempts } from './seen-attempts.js';
+
+/** How often `whenIdle` looks. */
+const idlePollMs = 10;
 
 /** What a transport needs. */
 export interface TransportOptions {
@@ -36,8 +39,8 @@
   readonly logger: Logger;
   readonly random: RandomSource;
   readonly limits?: Partial<TransportLimits>;
-  /** Decides which attempts may start; `SeenAttempts` unless a test replaces it. */
-  readonly guard?: AttemptGuard;
+  /** Replaces single mechanisms; for tests. */
+  readonly mechanisms?: Partial<TransportMechanisms>;
   /** A peer announced on a link that it drains. */
   readonly onPeerDraining?: (peer: PeerIdentity) => void;
 }
@@ -53,7 +56,7 @@
 
   readonly #limits: TransportLimits;
 
-  readonly #guard: AttemptGuard;
+  readonly #mechanisms: TransportMechanisms;
 
   readonly #links = new Map<string, OutboundLink>();
 
@@ -68,17 +71,19 @@
   constructor(private readonly options: TransportOptions) {
     const { self, logger, random } = options;
     this.#limits = { ...defaultTransportLimits, ...options.limits };
-    this.#guard = options.guard ?? new SeenAttempts(self.incarnation);
+    this.#mechanisms = { ...createMechanisms(self.incarnation), ...options.mechanisms };
     this.#linkContext = {
       self: { id: self.id, incarnation: self.incarnation },
       limits: this.#limits,
       counters: this.counters,
+      mechanisms: this.#mechanisms,
       logger,
       random,
       dial: (member) => this.#dial(member),
       onPeerDraining: (peer) => this.#onPeerDraining(peer),
     };
-    this.systems = [new LinkSystem(this.#links, this.#accepted, this.#guard, this.#limits)];
+    const { guard } = this.#mechanisms;
+    this.systems = [new LinkSystem(this.#links, this.#accepted, guard, this.#limits)];
   }
 
   get sender(): CallSender {
@@ -117,6 +122,20 @@
     });
   }
 
+  /** Calls and requests that are not finished yet, in both directions. */
+  get runningCount(): number {
+    let count = 0;
+    for (const link of this.#links.values()) count += link.size;
+    for (const session of this.#accepted) count += session.size;
+    return count;
+  }
+
+  /** Resolves once nothing runs in either direction, or after `timeoutMs`. */
+  async whenIdle(timeoutMs: number): Promise<void> {
+    const untilMs = monotonicNowMs() + timeoutMs;
+    while (this.runningCount > 0 && monotonicNowMs() < untilMs) await setTimeout(idlePollMs);
+  }
+
   /** Closes every link; attempts that still run end as in doubt. */
   async stop(): Promise<void> {
     for (const link of this.#links.values()) link.close();
@@ -151,11 +170,12 @@
       sequence: this.sequence,
       limits: this.#limits,
       counters: this.counters,
+      mechanisms: this.#mechanisms,
     });
     const link = this.#linkTo(member);
     link.start(attempt);
     const result = await attempt.result;
-    if (!attempt.isStarted) link.forget(attempt);
+    link.forget(attempt);
     return result;
   }
 
@@ -203,7 +223,7 @@
     const session: InboundSession = new InboundSession(socket, {
       self: { id: self.id, incarnation: self.incarnation },
       receiver: this.options.receiver,
-      guard: this.#guard,
+      mechanisms: this.#mechanisms,
       limits: this.#limits,
       counters: this.counters,
       handlers: this.#handlers,
