Add the first router and admission

Cause: the node needs a Router and an Admission to carry calls. Change: packages routing (compiled routes, rendezvous subsets, two choices, ramp of data centres, ejection, retry budget) and admission (slots, priority queue, deadline refusal, cold ramp, attempt ids, version guard). types gains ShareObservation, which admission reads when it is given.

--- /dev/null
+++ b/packages/admission/src/call-queue.ts
@@ -0,0 +1,21 @@
+import type { Priority } from '@sequoiafield/types';
+
+/** Call that waits for a slot. */
+export interface WaitingCall {
+  readonly priority: Priority;
+  readonly route: string;
+  readonly isIdempotent: boolean;
+  readonly deadlineAtMs: number;
+}
+
+/** Order of the waiting calls and who is dropped when the queue is full. */
+export interface CallQueue<Call extends WaitingCall> {
+  readonly size: number;
+  /** Waiting calls that go before a new one of this priority. */
+  countAhead(priority: Priority): number;
+  /** Adds the call; returns the call dropped for it, which may be the new one itself. */
+  push(call: Call, sizeMax: number): Call | undefined;
+  shift(): Call | undefined;
+  remove(call: Call): void;
+  all(): readonly Call[];
+}
--- /dev/null
+++ b/packages/admission/src/create-admission.ts
@@ -0,0 +1,61 @@
+import { SilentLogger, type Logger } from '@sequoiafield/logger';
+import type { RandomSource, System } from '@sequoiafield/tables';
+import type { Admission, RolloutView, ShareObservation, SnapshotView } from '@sequoiafield/types';
+import { AdaptiveSlotLimiter } from './adaptive-slot-limiter.js';
+import type { AdmissionMechanisms } from './admission-mechanisms.js';
+import type { OwnServer } from './own-server.js';
+import { PriorityQueue } from './priority-queue.js';
+import { RolloutVersionGuard } from './rollout-version-guard.js';
+import { BucketedSeenAttempts } from './seen-attempts.js';
+import { MeasuredServiceTime } from './service-time-estimate.js';
+import { SlotAdmission } from './slot-admission.js';
+
+/** What admission needs to know. */
+export interface AdmissionOptions {
+  readonly selfId: string;
+  readonly dataCentre: string;
+  /** Start time of this process in Unix ms, as it is announced to the members. */
+  readonly incarnation: number;
+  readonly snapshot: SnapshotView;
+  readonly rollout: RolloutView;
+  /** The announced backend server, or undefined while there is none. */
+  readonly ownServer: () => OwnServer | undefined;
+  readonly random: RandomSource;
+  /** Share that this node's version got lately; without it only the start of a move is guarded. */
+  readonly observation?: ShareObservation;
+  readonly logger?: Logger;
+  /** Replaces single mechanisms, for baselines and for tests that show what each one prevents. */
+  readonly mechanisms?: Partial<AdmissionMechanisms>;
+}
+
+/** Admission and the systems that the tick loop must run for it. */
+export interface AdmissionParts {
+  readonly admission: Admission;
+  readonly systems: readonly System[];
+}
+
+/**
+ * Creates the admission of calls beside one backend server. It never throws; `admit` settles at
+ * the latest one tick after the deadline.
+ *
+ * @example
+ * const { admission, systems } = createAdmission({
+ *   selfId, dataCentre, incarnation, snapshot, rollout, ownServer, random,
+ * });
+ */
+export const createAdmission = (options: AdmissionOptions): AdmissionParts => {
+  const { dataCentre, incarnation, snapshot, rollout, ownServer, random } = options;
+  const admission = new SlotAdmission(
+    { dataCentre, incarnation, snapshot, ownServer, random },
+    {
+      limiter: new AdaptiveSlotLimiter(options.selfId, options.logger ?? new SilentLogger()),
+      estimate: new MeasuredServiceTime(),
+      seen: new BucketedSeenAttempts(),
+      queue: new PriorityQueue(),
+      guard: new RolloutVersionGuard(rollout, snapshot, options.observation),
+      refusesWhenOut: true,
+      ...options.mechanisms,
+    },
+  );
+  return { admission, systems: [admission] };
+};
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './admission-mechanisms.js';
+export * from './call-queue.js';
+export * from './create-admission.js';
+export type { OwnServer } from './own-server.js';
+export { PriorityQueue } from './priority-queue.js';
+export type { SeenAttempts } from './seen-attempts.js';
+export { MeasuredServiceTime, type ServiceTimeEstimate } from './service-time-estimate.js';
+export type { QueuedCall } from './slot-admission.js';
+export * from './slot-limiter.js';
+export * from './version-guard.js';
--- /dev/null
+++ b/packages/admission/src/slot-admission.ts
@@ -0,0 +1,217 @@
+import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
+import {
+  DataCentreState,
+  RefusalOutcome,
+  RefusalReason,
+  type Admission,
+  type AdmissionResult,
+  type CallOpen,
+  type CallRefusal,
+  type LoadReport,
+  type SnapshotView,
+} from '@sequoiafield/types';
+import type { AdmissionMechanisms } from './admission-mechanisms.js';
+import type { WaitingCall } from './call-queue.js';
+import type { OwnServer } from './own-server.js';
+
+/** Waiting calls per slot; a longer queue only makes every call late. */
+export const queuedPerSlot = 2;
+const queueMin = 4;
+
+/** Call in the queue with the way to answer it. */
+export interface QueuedCall extends WaitingCall {
+  readonly open: CallOpen;
+  settle(result: AdmissionResult): void;
+}
+
+/** What admission reads. */
+export interface AdmissionSources {
+  readonly dataCentre: string;
+  readonly incarnation: number;
+  readonly snapshot: SnapshotView;
+  readonly ownServer: () => OwnServer | undefined;
+  readonly random: RandomSource;
+}
+
+/**
+ * Slots and a short queue in front of the own backend server; see `createAdmission`. Each refusal
+ * says "not run" except for an attempt that was seen before, which may be running.
+ *
+ * @example
+ * const result = await admission.admit(open, deadlineAtMs, signal);
+ * if (result.kind === 'permit') result.permit.release({ hasFailed: false, latencyMs: 12 });
+ */
+export class SlotAdmission implements Admission, System {
+  readonly name = 'admission';
+
+  #running = 0;
+
+  #serverStartedAtMs: number | undefined;
+
+  constructor(
+    private readonly sources: AdmissionSources,
+    private readonly mechanisms: AdmissionMechanisms,
+  ) {}
+
+  load(): LoadReport {
+    return {
+      runningCalls: this.#running,
+      queuedCalls: this.mechanisms.queue.size,
+      slotsNow: this.#slotsNow(),
+    };
+  }
+
+  async admit(open: CallOpen, deadlineAtMs: number, signal: AbortSignal): Promise<AdmissionResult> {
+    if (!this.mechanisms.seen.add(open.attempt, deadlineAtMs)) {
+      return this.#refuse(RefusalReason.DuplicateAttempt, RefusalOutcome.Unknown);
+    }
+    this.#noteServerStart();
+    const reason =
+      this.#reasonByState(open) ??
+      (signal.aborted ? RefusalReason.Cancelled : this.#reasonByDeadline(open, deadlineAtMs));
+    if (reason !== undefined) return this.#refuse(reason);
+    if (this.#running < this.#slotsNow() && this.mechanisms.queue.size === 0) {
+      return this.#permit(open);
+    }
+    return this.#enqueue(open, deadlineAtMs, signal);
+  }
+
+  /** Evaluates the slots, refuses waiting calls that lost their chance and starts others. */
+  run(): void {
+    this.#noteServerStart();
+    this.mechanisms.limiter.step(this.#slots());
+    this.mechanisms.seen.sweep();
+    for (const call of this.mechanisms.queue.all()) {
+      const reason = this.#reasonNow(call);
+      if (reason !== undefined) {
+        this.mechanisms.queue.remove(call);
+        call.settle(this.#refuse(reason));
+      }
+    }
+    this.#startWaiting();
+  }
+
+  #slots(): number {
+    const service = this.sources.ownServer()?.service;
+    const section =
+      service === undefined ? undefined : this.sources.snapshot.current()?.services.get(service);
+    return section?.service.slots ?? 1;
+  }
+
+  #slotsNow(): number {
+    return this.mechanisms.limiter.slotsNow(this.#slots());
+  }
+
+  #noteServerStart(): void {
+    const startedAtMs = this.sources.ownServer()?.startedAtMs;
+    if (startedAtMs === undefined || startedAtMs === this.#serverStartedAtMs) return;
+    this.#serverStartedAtMs = startedAtMs;
+    this.mechanisms.limiter.restart();
+  }
+
+  #reasonByState(open: CallOpen): RefusalReason | undefined {
+    const { snapshot, dataCentre, incarnation, random } = this.sources;
+    const current = snapshot.current();
+    if (!current) return RefusalReason.NotReady;
+    if (!snapshot.isServing()) return RefusalReason.StaleView;
+    if (open.attempt.receiverIncarnation !== incarnation) return RefusalReason.WrongIncarnation;
+    const server = this.sources.ownServer();
+    if (!server) return RefusalReason.NotReady;
+    if (server.isDraining) return RefusalReason.Draining;
+    if (server.service !== open.service || server.backendVersion !== open.backendVersion) {
+      return RefusalReason.WrongVersion;
+    }
+    const intent = current.mesh.dataCentres.find(({ name }) => name === dataCentre);
+    if (intent?.state !== DataCentreState.In && this.mechanisms.refusesWhenOut) {
+      return RefusalReason.DataCentreOut;
+    }
+    return this.mechanisms.guard.reasonToRefuse(open.service, open.backendVersion, random.next());
+  }
+
+  #reasonByDeadline(open: CallOpen, deadlineAtMs: number): RefusalReason | undefined {
+    const leftMs = deadlineAtMs - monotonicNowMs();
+    if (leftMs <= 0) return RefusalReason.DeadlinePassed;
+    const { queue, estimate } = this.mechanisms;
+    const isFull = this.#running >= this.#slotsNow();
+    const waitMs = isFull
+      ? ((queue.countAhead(open.priority) + 1) * estimate.meanMs()) / this.#slotsNow()
+      : 0;
+    const isHopeless = waitMs + estimate.expectedMs(open.route) > leftMs;
+    return isHopeless ? RefusalReason.DeadlineHopeless : undefined;
+  }
+
+  /** Reason that came up while a call waited. */
+  #reasonNow(call: QueuedCall): RefusalReason | undefined {
+    const leftMs = call.deadlineAtMs - monotonicNowMs();
+    if (leftMs <= 0) return RefusalReason.DeadlinePassed;
+    if (leftMs < this.mechanisms.estimate.expectedMs(call.route)) {
+      return RefusalReason.DeadlineHopeless;
+    }
+    return this.#reasonByState(call.open);
+  }
+
+  #enqueue(open: CallOpen, deadlineAtMs: number, signal: AbortSignal): Promise<AdmissionResult> {
+    const { queue } = this.mechanisms;
+    return new Promise((resolve) => {
+      const cancellation = new AbortController();
+      const call: QueuedCall = {
+        open,
+        priority: open.priority,
+        route: open.route,
+        isIdempotent: open.isIdempotent,
+        deadlineAtMs,
+        settle: (result) => {
+          cancellation.abort();
+          resolve(result);
+        },
+      };
+      const onAbort = (): void => {
+        queue.remove(call);
+        call.settle(this.#refuse(RefusalReason.Cancelled));
+      };
+      signal.addEventListener('abort', onAbort, { once: true, signal: cancellation.signal });
+      const sizeMax = Math.max(queueMin, queuedPerSlot * this.#slotsNow());
+      const dropped = queue.push(call, sizeMax);
+      dropped?.settle(this.#refuse(RefusalReason.QueueFull));
+      // Slots may have become free since the last tick.
+      this.#startWaiting();
+    });
+  }
+
+  #startWaiting(): void {
+    const { queue } = this.mechanisms;
+    while (queue.size > 0 && this.#running < this.#slotsNow()) {
+      const call = queue.shift();
+      if (!call) return;
+      const reason = this.#reasonNow(call);
+      call.settle(reason === undefined ? this.#permit(call.open) : this.#refuse(reason));
+    }
+  }
+
+  #permit(open: CallOpen): AdmissionResult {
+    this.#running += 1;
+    let isReleased = false;
+    return {
+      kind: 'permit',
+      permit: {
+        release: ({ hasFailed, latencyMs }) => {
+          if (isReleased) return;
+          isReleased = true;
+          this.#running -= 1;
+          this.mechanisms.limiter.recordEnded({ route: open.route, hasFailed, latencyMs });
+          if (!hasFailed) this.mechanisms.estimate.record(open.route, latencyMs);
+          this.#startWaiting();
+        },
+      },
+    };
+  }
+
+  #refuse(
+    reason: RefusalReason,
+    outcome: RefusalOutcome = RefusalOutcome.NotRun,
+  ): { readonly kind: 'refusal'; readonly refusal: CallRefusal } {
+    const { runningCalls, queuedCalls, slotsNow } = this.load();
+    const detail = `${runningCalls} of ${slotsNow} slots in use, ${queuedCalls} waiting`;
+    return { kind: 'refusal', refusal: { outcome, reason, detail, load: this.load() } };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/candidate-sets.ts
@@ -0,0 +1,161 @@
+import { monotonicNowMs, type System } from '@sequoiafield/tables';
+import {
+  tickIntervalMs,
+  type MemberRow,
+  type MemberView,
+  type Snapshot,
+} from '@sequoiafield/types';
+import { MemberStanding, type MemberFilter } from './member-filter.js';
+import type { RendezvousRanking } from './rendezvous-ranking.js';
+
+/** Distance of a candidate; lower tiers go first. */
+export enum Tier {
+  OwnDataCentre = 0,
+  OwnRegion = 1,
+  OtherRegion = 2,
+}
+
+/** Member that this caller may use for a service, with its distance. */
+export interface Candidate {
+  readonly memberId: string;
+  readonly tier: Tier;
+}
+
+/** Members of a large service that one caller uses per tier; bounds its connections. */
+export const subsetSizeByTier: Readonly<Record<Tier, number>> = {
+  [Tier.OwnDataCentre]: 12,
+  [Tier.OwnRegion]: 8,
+  [Tier.OtherRegion]: 4,
+};
+/** Sets of services without a call for this long are no longer kept up to date. */
+const unusedAfterMs = 60_000;
+
+interface ServiceSets {
+  rows: readonly MemberRow[];
+  /** State of each row when the sets were built; rows are changed in place. */
+  states: readonly string[];
+  snapshot: Snapshot | undefined;
+  byVersion: Map<string, readonly Candidate[]>;
+  usedAtMs: number;
+  checkedAtMs: number;
+}
+
+/** Place of this node. */
+export interface Place {
+  readonly selfId: string;
+  readonly dataCentre: string;
+  readonly region: string;
+}
+
+const describeState = (row: MemberRow): string =>
+  `${row.incarnation}/${row.state}/${row.backendVersion}/${row.dataCentre}`;
+
+/**
+ * Subsets of each service's members, kept per backend version. They are rebuilt only when the
+ * members of the service or the snapshot changed, which is looked up once per tick.
+ *
+ * @example
+ * const sets = new CandidateSets(place, members, filter, ranking, isInDataCentre);
+ * sets.candidatesOf(snapshot, 'lager', 'v1');
+ */
+export class CandidateSets implements System {
+  readonly name = 'routing-subsets';
+
+  readonly #services = new Map<string, ServiceSets>();
+
+  constructor(
+    private readonly place: Place,
+    private readonly members: MemberView,
+    private readonly filter: MemberFilter,
+    private readonly ranking: RendezvousRanking,
+    /** Whether a data centre takes new work at all in a snapshot. */
+    private readonly isDataCentreIn: (snapshot: Snapshot, dataCentre: string) => boolean,
+  ) {}
+
+  run(): void {
+    const nowMs = monotonicNowMs();
+    for (const [service, sets] of this.#services) {
+      if (nowMs - sets.usedAtMs > unusedAfterMs) this.#services.delete(service);
+      else this.#check(service, nowMs);
+    }
+    this.ranking.prune((id) => this.members.get(id) !== undefined);
+  }
+
+  candidatesOf(snapshot: Snapshot, service: string, backendVersion: string): readonly Candidate[] {
+    const nowMs = monotonicNowMs();
+    const sets = this.#ensureSets(service);
+    sets.usedAtMs = nowMs;
+    if (nowMs - sets.checkedAtMs >= 2 * tickIntervalMs) this.#check(service, nowMs);
+    if (sets.snapshot !== snapshot) {
+      sets.snapshot = snapshot;
+      sets.byVersion.clear();
+    }
+    const known = sets.byVersion.get(backendVersion);
+    if (known) return known;
+    const built = this.#build(sets.rows, snapshot, backendVersion);
+    sets.byVersion.set(backendVersion, built);
+    return built;
+  }
+
+  /** Looks the members up again at the next use, for a caller that found no usable one. */
+  invalidate(service: string): void {
+    const sets = this.#services.get(service);
+    if (sets) sets.checkedAtMs = Number.NEGATIVE_INFINITY;
+  }
+
+  #ensureSets(service: string): ServiceSets {
+    const known = this.#services.get(service);
+    if (known) return known;
+    const sets: ServiceSets = {
+      rows: [],
+      states: [],
+      snapshot: undefined,
+      byVersion: new Map(),
+      usedAtMs: 0,
+      checkedAtMs: Number.NEGATIVE_INFINITY,
+    };
+    this.#services.set(service, sets);
+    return sets;
+  }
+
+  #check(service: string, nowMs: number): void {
+    const sets = this.#ensureSets(service);
+    sets.checkedAtMs = nowMs;
+    const rows = this.members.ofService(service);
+    const isSame =
+      rows.length === sets.rows.length &&
+      rows.every(
+        (row, index) => row === sets.rows[index] && sets.states[index] === describeState(row),
+      );
+    if (isSame) return;
+    sets.rows = [...rows];
+    sets.states = rows.map(describeState);
+    sets.byVersion.clear();
+  }
+
+  #build(
+    rows: readonly MemberRow[],
+    snapshot: Snapshot,
+    backendVersion: string,
+  ): readonly Candidate[] {
+    const usable = rows.filter(
+      (row) =>
+        row.backendVersion === backendVersion &&
+        this.filter.standingOf(row) !== MemberStanding.Never &&
+        this.isDataCentreIn(snapshot, row.dataCentre),
+    );
+    const living = usable.filter((row) => this.filter.standingOf(row) !== MemberStanding.Dead);
+    // Dead members are candidates only when no other is left.
+    const chosen = living.length > 0 ? living : usable;
+    const tiers = [Tier.OwnDataCentre, Tier.OwnRegion, Tier.OtherRegion];
+    return tiers.flatMap((tier) => {
+      const ids = chosen.filter((row) => this.#tierOf(row) === tier).map((row) => row.id);
+      return this.ranking.top(ids, subsetSizeByTier[tier]).map((memberId) => ({ memberId, tier }));
+    });
+  }
+
+  #tierOf(row: MemberRow): Tier {
+    if (row.dataCentre === this.place.dataCentre) return Tier.OwnDataCentre;
+    return row.region === this.place.region ? Tier.OwnRegion : Tier.OtherRegion;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/counted-member-loads.ts
@@ -0,0 +1,65 @@
+import { monotonicNowMs, Table } from '@sequoiafield/tables';
+import type { AttemptReport, LoadReport } from '@sequoiafield/types';
+import { loadDecayMs, slotsFreshMs, type MemberLoads, type ReportedLoad } from './member-loads.js';
+
+interface LoadRow {
+  running: number;
+  reported?: ReportedLoad;
+}
+
+/**
+ * Own running calls plus what others run there by the last report, which fades. Own counts are
+ * never lowered by a report, so a member that reports too little still fills up.
+ *
+ * @example
+ * const loads = new CountedMemberLoads('node-1', () => admission.load());
+ * loads.begin('node-2');
+ * loads.ratioOf('node-2', 10); // 0.2
+ */
+export class CountedMemberLoads implements MemberLoads {
+  readonly #rows = new Table<LoadRow>('attempts');
+
+  constructor(
+    private readonly selfId: string,
+    private readonly ownLoad: (() => LoadReport) | undefined,
+  ) {}
+
+  begin(memberId: string): void {
+    this.#row(memberId).running += 1;
+  }
+
+  report(report: AttemptReport): void {
+    const row = this.#row(report.memberId);
+    row.running = Math.max(0, row.running - 1);
+    if (report.load) {
+      row.reported = { load: report.load, atMs: monotonicNowMs(), ownRunning: row.running };
+    }
+  }
+
+  ratioOf(memberId: string, slots: number): number {
+    if (memberId === this.selfId && this.ownLoad) {
+      const load = this.ownLoad();
+      return (load.runningCalls + load.queuedCalls + 1) / Math.max(1, load.slotsNow);
+    }
+    const row = this.#rows.get(memberId);
+    if (!row) return 1 / Math.max(1, slots);
+    if (!row.reported) return (row.running + 1) / Math.max(1, slots);
+    const { load, atMs, ownRunning } = row.reported;
+    const ageMs = monotonicNowMs() - atMs;
+    const ofOthers = Math.max(0, load.runningCalls + load.queuedCalls - ownRunning);
+    const slotsNow = ageMs < slotsFreshMs ? load.slotsNow : slots;
+    return (row.running + ofOthers * Math.exp(-ageMs / loadDecayMs) + 1) / Math.max(1, slotsNow);
+  }
+
+  prune(isKnown: (memberId: string) => boolean): void {
+    for (const id of this.#rows.ids()) if (!isKnown(id)) this.#rows.delete(id);
+  }
+
+  #row(memberId: string): LoadRow {
+    const known = this.#rows.get(memberId);
+    if (known) return known;
+    const row: LoadRow = { running: 0 };
+    this.#rows.set(memberId, row);
+    return row;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/default-router.ts
@@ -0,0 +1,186 @@
+import { wallNowUnixMs, type System } from '@sequoiafield/tables';
+import type {
+  AttemptReport,
+  MemberRow,
+  MemberView,
+  RolloutView,
+  RouteMatch,
+  Router,
+  Snapshot,
+  SnapshotView,
+} from '@sequoiafield/types';
+import { CandidateSets, type Place } from './candidate-sets.js';
+import { EjectionStanding } from './ejector.js';
+import { MemberStanding } from './member-filter.js';
+import type { WeighedCandidate } from './member-choice.js';
+import { RendezvousRanking } from './rendezvous-ranking.js';
+import { RouteTable } from './route-table.js';
+import type { RoutingMechanisms } from './routing-mechanisms.js';
+
+/** Candidates by how good they look; a worse group is used only when the better ones are empty. */
+interface CandidateGroups {
+  readonly good: WeighedCandidate[];
+  readonly suspect: WeighedCandidate[];
+  readonly outByFailures: WeighedCandidate[];
+  readonly outByRefusal: WeighedCandidate[];
+  readonly dead: WeighedCandidate[];
+}
+
+/** What the router reads. */
+export interface RouterSources {
+  readonly snapshot: SnapshotView;
+  readonly members: MemberView;
+  readonly rollout: Pick<RolloutView, 'isAllowed'>;
+}
+
+/**
+ * Router over the snapshot and the members table; see `createRouting`.
+ *
+ * @example
+ * const member = router.choose('lager', 'v1', new Set());
+ */
+export class DefaultRouter implements Router, System {
+  readonly name = 'routing';
+
+  readonly #sets: CandidateSets;
+
+  #compiledFrom: Snapshot | undefined;
+
+  #table: RouteTable | undefined;
+
+  constructor(
+    private readonly place: Place,
+    private readonly sources: RouterSources,
+    private readonly mechanisms: RoutingMechanisms,
+  ) {
+    this.#sets = new CandidateSets(
+      place,
+      sources.members,
+      mechanisms.filter,
+      new RendezvousRanking(place.selfId),
+      (snapshot, dataCentre) =>
+        mechanisms.weights.weightOf(snapshot, dataCentre, wallNowUnixMs()) > 0,
+    );
+  }
+
+  /** Keeps subsets up to date and forgets members that are gone. */
+  run(): void {
+    this.#sets.run();
+    const isKnown = (id: string): boolean => this.sources.members.get(id) !== undefined;
+    this.mechanisms.ejector.prune(isKnown);
+    this.mechanisms.loads.prune(isKnown);
+  }
+
+  match(method: string, path: string): RouteMatch | undefined {
+    const snapshot = this.sources.snapshot.current();
+    if (!snapshot) return undefined;
+    if (snapshot !== this.#compiledFrom) {
+      this.#compiledFrom = snapshot;
+      this.#table = new RouteTable(snapshot);
+    }
+    const entry = this.#table?.find(method, path);
+    if (!entry) return undefined;
+    const section = snapshot.services.get(entry.service);
+    if (!section) {
+      this.sources.snapshot.want(entry.service);
+      return undefined;
+    }
+    const route = section.routes.find(({ name }) => name === entry.name);
+    return route && { route, service: section.service };
+  }
+
+  choose(
+    service: string,
+    backendVersion: string,
+    triedIds: ReadonlySet<string>,
+  ): MemberRow | undefined {
+    const snapshot = this.sources.snapshot.current();
+    if (!snapshot || !this.sources.rollout.isAllowed(service, backendVersion)) return undefined;
+    const found = this.#weigh(snapshot, service, backendVersion);
+    if (found.length === 0) this.#sets.invalidate(service);
+    const candidates = found.length > 0 ? found : this.#weigh(snapshot, service, backendVersion);
+    const untried = candidates.filter(({ row }) => !triedIds.has(row.id));
+    return this.#chooseFrom(untried.length > 0 ? untried : candidates);
+  }
+
+  begin(memberId: string): void {
+    this.mechanisms.loads.begin(memberId);
+    this.mechanisms.ejector.begin(memberId);
+  }
+
+  report(report: AttemptReport): void {
+    this.mechanisms.loads.report(report);
+    this.mechanisms.ejector.report(report);
+  }
+
+  recordFirstAttempt(service: string): void {
+    this.mechanisms.budget.recordFirstAttempt(service);
+  }
+
+  takeRetry(service: string, budgetPercent: number): boolean {
+    return this.mechanisms.budget.take(service, budgetPercent);
+  }
+
+  #weigh(snapshot: Snapshot, service: string, backendVersion: string): readonly WeighedCandidate[] {
+    const slots = snapshot.services.get(service)?.service.slots ?? 1;
+    const nowUnixMs = wallNowUnixMs();
+    const weighed: WeighedCandidate[] = [];
+    for (const { memberId, tier } of this.#sets.candidatesOf(snapshot, service, backendVersion)) {
+      const row = this.sources.members.get(memberId);
+      // The row may have changed since the subset was built.
+      if (!row || row.backendVersion !== backendVersion) continue;
+      if (this.mechanisms.filter.standingOf(row) === MemberStanding.Never) continue;
+      const weight = this.mechanisms.weights.weightOf(snapshot, row.dataCentre, nowUnixMs);
+      if (weight <= 0) continue;
+      const loadRatio = this.mechanisms.loads.ratioOf(memberId, slots);
+      weighed.push({ row, tier, weight, loadRatio });
+    }
+    return weighed;
+  }
+
+  #group(candidates: readonly WeighedCandidate[]): CandidateGroups {
+    const groups: CandidateGroups = {
+      good: [],
+      suspect: [],
+      outByFailures: [],
+      outByRefusal: [],
+      dead: [],
+    };
+    for (const candidate of candidates) this.#groupOf(groups, candidate.row).push(candidate);
+    return groups;
+  }
+
+  #groupOf(groups: CandidateGroups, row: MemberRow): WeighedCandidate[] {
+    const standing = this.mechanisms.filter.standingOf(row);
+    if (standing === MemberStanding.Dead) return groups.dead;
+    switch (this.mechanisms.ejector.standingOf(row.id, row.incarnation)) {
+      case EjectionStanding.OutByFailures:
+        return groups.outByFailures;
+      case EjectionStanding.OutByRefusal:
+        return groups.outByRefusal;
+      default:
+        return standing === MemberStanding.Suspect ? groups.suspect : groups.good;
+    }
+  }
+
+  #chooseFrom(candidates: readonly WeighedCandidate[]): MemberRow | undefined {
+    const { good, suspect, outByFailures, outByRefusal, dead } = this.#group(candidates);
+    let usable = good.length > 0 ? good : suspect;
+    // Failed answers of most members point to the route or the version; the few others would only
+    // be overloaded by all of its calls.
+    const isMostlyFailing = usable.length < outByFailures.length;
+    if (usable.length > 0 && isMostlyFailing) usable = [...usable, ...outByFailures];
+    if (usable.length > 0) {
+      return this.mechanisms.choice.choose(usable, this.place.selfId)?.row;
+    }
+    return this.#leastBad([...outByFailures, ...outByRefusal]) ?? this.#leastBad(dead);
+  }
+
+  /** Fails open: when every member looks bad, the view is more likely wrong than all of them. */
+  #leastBad(candidates: readonly WeighedCandidate[]): MemberRow | undefined {
+    const badness = ({ row, loadRatio }: WeighedCandidate): number =>
+      this.mechanisms.ejector.badnessOf(row.id) + Math.min(0.99, loadRatio / 100);
+    const sorted = [...candidates].sort((left, right) => badness(left) - badness(right));
+    return sorted[0]?.row;
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export * from './candidate-sets.js';
+export * from './create-routing.js';
+export * from './data-centre-weights.js';
+export * from './ejector.js';
+export * from './member-choice.js';
+export * from './member-filter.js';
+export * from './member-loads.js';
+export * from './retry-budget.js';
+export * from './route-table.js';
+export * from './routing-mechanisms.js';
+export { RampedDataCentreWeights } from './ramped-data-centre-weights.js';
+export { TwoChoices } from './two-choices.js';
--- /dev/null
+++ b/packages/routing/src/outlier-ejector.ts
@@ -0,0 +1,124 @@
+import { monotonicNowMs, Table, type RandomSource } from '@sequoiafield/tables';
+import type { AttemptReport } from '@sequoiafield/types';
+import {
+  backOffFirstMs,
+  backOffMaxMs,
+  EjectionStanding,
+  ejectingReasons,
+  failuresToEject,
+  neutralReasons,
+  trialMaxMs,
+  unansweredToEject,
+  type Ejector,
+} from './ejector.js';
+
+interface EjectionRow {
+  incarnation: number;
+  failures: number;
+  unanswered: number;
+  /** Ejections in a row; a successful answer resets it. */
+  ejections: number;
+  isByRefusal: boolean;
+  ejectedUntilMs: number;
+  trialSinceMs: number | undefined;
+}
+
+const createRow = (): EjectionRow => ({
+  incarnation: 0,
+  failures: 0,
+  unanswered: 0,
+  ejections: 0,
+  isByRefusal: false,
+  ejectedUntilMs: 0,
+  trialSinceMs: undefined,
+});
+
+/**
+ * Ejects a member at once on own evidence, for a jittered and doubling back-off. After it one
+ * trial call at a time decides on the return. A new incarnation of a member starts clean.
+ *
+ * @example
+ * const ejector = new OutlierEjector(new SeededRandom(1));
+ * ejector.report({ memberId, service, hasFailed: true, latencyMs: 5, refusalReason });
+ * ejector.standingOf(memberId, incarnation);
+ */
+export class OutlierEjector implements Ejector {
+  readonly #rows = new Table<EjectionRow>('ejections');
+
+  constructor(private readonly random: RandomSource) {}
+
+  standingOf(memberId: string, incarnation: number): EjectionStanding {
+    const row = this.#rows.get(memberId);
+    if (!row) return EjectionStanding.In;
+    if (row.incarnation !== incarnation) {
+      const isRestart = row.incarnation !== 0;
+      row.incarnation = incarnation;
+      if (isRestart) Object.assign(row, { ...createRow(), incarnation });
+    }
+    if (row.ejections === 0) return EjectionStanding.In;
+    const nowMs = monotonicNowMs();
+    const isTrialRunning = row.trialSinceMs !== undefined && nowMs - row.trialSinceMs < trialMaxMs;
+    if (nowMs >= row.ejectedUntilMs && !isTrialRunning) return EjectionStanding.Trial;
+    return row.isByRefusal ? EjectionStanding.OutByRefusal : EjectionStanding.OutByFailures;
+  }
+
+  badnessOf(memberId: string): number {
+    const row = this.#rows.get(memberId);
+    if (!row) return 0;
+    // Members that failed answers may still answer; unreachable ones are worse.
+    return row.ejections + (row.isByRefusal ? 10 : 0);
+  }
+
+  begin(memberId: string): void {
+    const row = this.#rows.get(memberId);
+    if (row && row.ejections > 0) row.trialSinceMs = monotonicNowMs();
+  }
+
+  report(report: AttemptReport): void {
+    const { refusalReason: reason } = report;
+    const row = this.#rows.get(report.memberId);
+    if (row) row.trialSinceMs = undefined;
+    if (reason !== undefined && neutralReasons.has(reason)) return;
+    if (reason !== undefined && ejectingReasons.has(reason)) {
+      this.#eject(report.memberId, true);
+    } else if (report.hasFailed) {
+      this.#countFailure(report.memberId, report.load === undefined);
+    } else if (row) {
+      Object.assign(row, { ...createRow(), incarnation: row.incarnation });
+    }
+  }
+
+  prune(isKnown: (memberId: string) => boolean): void {
+    for (const id of this.#rows.ids()) if (!isKnown(id)) this.#rows.delete(id);
+  }
+
+  #countFailure(memberId: string, isUnanswered: boolean): void {
+    const row = this.#ensureRow(memberId);
+    row.failures += 1;
+    row.unanswered = isUnanswered ? row.unanswered + 1 : 0;
+    const isByRefusal = row.unanswered >= unansweredToEject;
+    // A failed trial ejects again at once.
+    if (isByRefusal || row.failures >= failuresToEject || row.ejections > 0) {
+      this.#eject(memberId, isByRefusal || (row.isByRefusal && isUnanswered));
+    }
+  }
+
+  #eject(memberId: string, isByRefusal: boolean): void {
+    const row = this.#ensureRow(memberId);
+    const nowMs = monotonicNowMs();
+    row.isByRefusal = isByRefusal;
+    // Calls that were already running when the member was ejected do not lengthen the back-off.
+    if (row.ejections > 0 && nowMs < row.ejectedUntilMs) return;
+    row.ejections += 1;
+    const backOffMs = Math.min(backOffMaxMs, backOffFirstMs * 2 ** (row.ejections - 1));
+    row.ejectedUntilMs = nowMs + backOffMs * (0.5 + this.random.next());
+  }
+
+  #ensureRow(memberId: string): EjectionRow {
+    const known = this.#rows.get(memberId);
+    if (known) return known;
+    const row = createRow();
+    this.#rows.set(memberId, row);
+    return row;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/routing-mechanisms.ts
@@ -0,0 +1,16 @@
+import type { DataCentreWeights } from './data-centre-weights.js';
+import type { Ejector } from './ejector.js';
+import type { MemberChoice } from './member-choice.js';
+import type { MemberFilter } from './member-filter.js';
+import type { MemberLoads } from './member-loads.js';
+import type { RetryBudget } from './retry-budget.js';
+
+/** Parts of the router that a test or a baseline may replace. */
+export interface RoutingMechanisms {
+  readonly filter: MemberFilter;
+  readonly weights: DataCentreWeights;
+  readonly loads: MemberLoads;
+  readonly ejector: Ejector;
+  readonly choice: MemberChoice;
+  readonly budget: RetryBudget;
+}
--- /dev/null
+++ b/packages/routing/src/token-retry-budget.ts
@@ -0,0 +1,43 @@
+import { Table } from '@sequoiafield/tables';
+import { retryBurst, type RetryBudget } from './retry-budget.js';
+
+interface BudgetRow {
+  /** Unspent first attempts; one retry costs `100 / budgetPercent` of them. */
+  credit: number;
+}
+
+/**
+ * Token bucket per service: each first attempt pays in, each retry takes out. Over any period
+ * retries stay under `budgetPercent` of first attempts plus `retryBurst`.
+ *
+ * @example
+ * const budget = new TokenRetryBudget();
+ * budget.recordFirstAttempt('settlement');
+ * if (budget.take('settlement', 10)) retry();
+ */
+export class TokenRetryBudget implements RetryBudget {
+  readonly #rows = new Table<BudgetRow>('budgets');
+
+  recordFirstAttempt(service: string): void {
+    this.#row(service).credit += 1;
+  }
+
+  take(service: string, budgetPercent: number): boolean {
+    if (budgetPercent <= 0) return false;
+    const cost = 100 / budgetPercent;
+    const row = this.#row(service);
+    row.credit = Math.min(row.credit, retryBurst * cost);
+    if (row.credit < cost) return false;
+    row.credit -= cost;
+    return true;
+  }
+
+  #row(service: string): BudgetRow {
+    const known = this.#rows.get(service);
+    if (known) return known;
+    // Starts with a full burst; `take` reduces it to the bucket's size.
+    const row = { credit: Number.MAX_SAFE_INTEGER };
+    this.#rows.set(service, row);
+    return row;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/two-choices.ts
@@ -0,0 +1,67 @@
+import type { RandomSource } from '@sequoiafield/tables';
+import {
+  farPenalty,
+  spillRatio,
+  type MemberChoice,
+  type WeighedCandidate,
+} from './member-choice.js';
+
+const scoreOf = (candidate: WeighedCandidate): number => candidate.loadRatio / candidate.weight;
+
+const groupByTier = (
+  candidates: readonly WeighedCandidate[],
+): readonly (readonly WeighedCandidate[])[] => {
+  const groups: WeighedCandidate[][] = [];
+  for (const candidate of candidates) (groups[candidate.tier] ??= []).push(candidate);
+  return groups.filter((group) => group !== undefined);
+};
+
+/**
+ * Two random choices by load (Mitzenmacher, 2001) in the nearest tier; a loaded tier spills over
+ * to the next. A ramping near data centre takes only its weight's share of near calls, and the own
+ * instance goes first when it is not busier than the choice.
+ *
+ * @example
+ * new TwoChoices(new SeededRandom(1)).choose(candidates, 'node-1')?.row.id;
+ */
+export class TwoChoices implements MemberChoice {
+  constructor(private readonly random: RandomSource) {}
+
+  choose(candidates: readonly WeighedCandidate[], selfId: string): WeighedCandidate | undefined {
+    const tiers = groupByTier(candidates);
+    let best: WeighedCandidate | undefined;
+    for (const [index, tier] of tiers.entries()) {
+      const isLast = index === tiers.length - 1;
+      if (this.#isSkippedByRamp(tier, isLast && best === undefined)) continue;
+      const found = this.#chooseInTier(tier, selfId);
+      if (!best || found.loadRatio + farPenalty < best.loadRatio) best = found;
+      if (best.loadRatio < spillRatio) return best;
+    }
+    return best;
+  }
+
+  #isSkippedByRamp(tier: readonly WeighedCandidate[], isOnlyChoice: boolean): boolean {
+    const weight = Math.max(...tier.map((candidate) => candidate.weight));
+    return weight < 1 && !isOnlyChoice && this.random.next() >= weight;
+  }
+
+  #chooseInTier(tier: readonly WeighedCandidate[], selfId: string): WeighedCandidate {
+    const first = this.#pick(tier, undefined);
+    const second = tier.length > 1 ? this.#pick(tier, first) : first;
+    const better = scoreOf(second) < scoreOf(first) ? second : first;
+    const own = tier.find((candidate) => candidate.row.id === selfId);
+    return own && scoreOf(own) <= scoreOf(better) ? own : better;
+  }
+
+  /** Picks by weight among the tier without `except`. */
+  #pick(tier: readonly WeighedCandidate[], except: WeighedCandidate | undefined): WeighedCandidate {
+    const others = tier.filter((candidate) => candidate !== except);
+    const total = others.reduce((sum, candidate) => sum + candidate.weight, 0);
+    let left = this.random.next() * total;
+    const picked = others.find((candidate) => {
+      left -= candidate.weight;
+      return left < 0;
+    });
+    return picked ?? others[others.length - 1]!;
+  }
+}
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -99,3 +99,9 @@
   admit(open: CallOpen, deadlineAtMs: number, signal: AbortSignal): Promise<AdmissionResult>;
   load(): LoadReport;
 }
+
+/** Share of a service's calls that a backend version got lately, where this node knows it. */
+export interface ShareObservation {
+  /** 0 to 100, or undefined without enough recent counts. */
+  observedSharePercent(service: string, backendVersion: string): number | undefined;
+}
