Add the backend server and call generator stand-ins

Cause: the node's tests need backend servers with controlled faults and a load whose answers and executions can be checked exactly.

--- /dev/null
+++ b/packages/stand-ins/src/backend-server/answer-body.ts
@@ -0,0 +1,85 @@
+import { createHash } from 'node:crypto';
+
+/** What an answer says about the request that it belongs to. */
+export interface AnswerBody {
+  readonly requestId: string;
+  readonly serverId: string;
+  readonly service: string;
+  readonly backendVersion: string;
+  readonly method: string;
+  readonly path: string;
+  /** SHA-256 (hex) of the request's body. */
+  readonly requestDigest: string;
+  readonly payload: string;
+  /** SHA-256 (hex) over all fields above. */
+  readonly digest: string;
+}
+
+/** Request as its sender knows it. */
+export interface SentRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+}
+
+/**
+ * SHA-256 in hex.
+ *
+ * @example
+ * hashText('abc');
+ */
+export const hashText = (text: string | Uint8Array): string =>
+  createHash('sha256').update(text).digest('hex');
+
+const computeDigest = (fields: Omit<AnswerBody, 'digest'>): string =>
+  hashText(
+    [
+      fields.requestId,
+      fields.serverId,
+      fields.service,
+      fields.backendVersion,
+      fields.method,
+      fields.path,
+      fields.requestDigest,
+      fields.payload,
+    ].join('\n'),
+  );
+
+/**
+ * Builds the answer to a request; the payload has `payloadBytes` and depends on the request id.
+ *
+ * @example
+ * buildAnswerBody({ requestId, serverId, service, backendVersion, method, path, requestDigest }, 64);
+ */
+export const buildAnswerBody = (
+  request: Omit<AnswerBody, 'payload' | 'digest'>,
+  payloadBytes: number,
+): AnswerBody => {
+  const pattern = hashText(request.requestId);
+  const payload = pattern
+    .repeat(Math.ceil(payloadBytes / pattern.length))
+    .slice(0, Math.max(0, payloadBytes));
+  const fields = { ...request, payload };
+  return { ...fields, digest: computeDigest(fields) };
+};
+
+/**
+ * Says what is wrong with an answer, or undefined if it is whole and belongs to the request.
+ *
+ * @example
+ * const problem = findAnswerProblem(text, { requestId, method, path, body });
+ */
+export const findAnswerProblem = (text: string, sent: SentRequest): string | undefined => {
+  let answer: AnswerBody;
+  try {
+    answer = JSON.parse(text) as AnswerBody;
+  } catch {
+    return 'answer is not whole JSON';
+  }
+  if (answer.requestId !== sent.requestId) return `answer belongs to request ${answer.requestId}`;
+  if (answer.method !== sent.method) return `answer has method ${answer.method}`;
+  if (answer.path !== sent.path) return `answer has path ${answer.path}`;
+  if (answer.requestDigest !== hashText(sent.body)) return 'request body arrived changed';
+  return answer.digest === computeDigest(answer) ? undefined : 'digest of the answer differs';
+};
--- /dev/null
+++ b/packages/stand-ins/src/call-generator/call-generator.ts
@@ -0,0 +1,47 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { monotonicNowMs } from '@sequoiafield/tables';
+import type { CallClient } from './call-client.js';
+import type { CallPlan, PlannedRequest } from './call-plan.js';
+import type { OutcomeRecord } from './outcome.js';
+
+/** Bound of a run; the first that is reached ends it. */
+export interface RunBound {
+  readonly countMax: number;
+  readonly durationMaxMs: number;
+}
+
+/**
+ * Sends a plan as an open loop: requests leave at their planned time, whatever the answers do.
+ *
+ * @example
+ * const generator = new CallGenerator(plan, client, ['http://127.0.0.1:8080']);
+ * const records = await generator.run({ countMax: 1000, durationMaxMs: 10_000 });
+ */
+export class CallGenerator {
+  constructor(
+    private readonly plan: CallPlan,
+    private readonly client: CallClient,
+    private readonly targets: readonly string[],
+  ) {}
+
+  async run(bound: RunBound): Promise<readonly OutcomeRecord[]> {
+    const startedAtMs = monotonicNowMs();
+    const pending: Promise<OutcomeRecord>[] = [];
+    for (let sent = 0; sent < bound.countMax; sent += 1) {
+      const planned = this.plan.next();
+      if (planned.atMs >= bound.durationMaxMs) break;
+      const waitMs = startedAtMs + planned.atMs - monotonicNowMs();
+      if (waitMs > 0) await delay(waitMs);
+      pending.push(this.#send(planned, sent, startedAtMs));
+    }
+    return Promise.all(pending);
+  }
+
+  async #send(planned: PlannedRequest, index: number, startedAtMs: number): Promise<OutcomeRecord> {
+    const target = this.targets[index % this.targets.length]!;
+    const response = await this.client.send(target, planned);
+    const { requestId, route, isIdempotent } = planned;
+    const latencyMs = monotonicNowMs() - startedAtMs - planned.atMs;
+    return { requestId, route, isIdempotent, latencyMs, ...response };
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './backend-server/answer-body.js';
+export { BackendServer, type BackendServerIdentity } from './backend-server/backend-server.js';
+export * from './backend-server/behaviour.js';
+export * from './backend-server/ledger.js';
+export { CallClient } from './call-generator/call-client.js';
+export { CallGenerator } from './call-generator/call-generator.js';
+export * from './call-generator/call-plan.js';
+export * from './call-generator/ledger-check.js';
+export * from './call-generator/outcome.js';
+export { summarizeRun } from './call-generator/summary.js';
