--- /dev/null
+++ b/packages/routing/src/choice.test.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { SeededRandom } from '@sequoiafield/tables';
+import { matchSnapshot, pauseClock } from '@sequoiafield/test-kit';
+import { DataCentreState, RefusalReason, type MemberRow } from '@sequoiafield/types';
+import { computeDataCentreWeight, EjectionStanding, Tier, TwoChoices } from './index.js';
+import type { WeighedCandidate } from './index.js';
+import { OutlierEjector } from './outlier-ejector.js';
+import { RendezvousRanking } from './rendezvous-ranking.js';
+import { RouteTable } from './route-table.js';
+import { TokenRetryBudget } from './token-retry-budget.js';
+
+const candidate = (id: string, tier: Tier, loadRatio: number, weight = 1): WeighedCandidate => ({
+  row: { id } as MemberRow,
+  tier,
+  weight,
+  loadRatio,
+});
+
+const countChoices = (
+  candidates: readonly WeighedCandidate[],
+  selfId = 'caller',
+): Record<string, number> => {
+  const choice = new TwoChoices(new SeededRandom(7));
+  const counts: Record<string, number> = {};
+  for (let index = 0; index < 1000; index += 1) {
+    const id = choice.choose(candidates, selfId)?.row.id ?? 'none';
+    counts[id] = (counts[id] ?? 0) + 1;
+  }
+  return counts;
+};
+
+test('shares of 1000 choices', () => {
+  // Guards against herding on one member, ignored load, a ramp that the only near data centre
+  // escapes, and an own instance that is used while it is busier.
+  const { OwnDataCentre: near, OwnRegion: mid, OtherRegion: far } = Tier;
+  matchSnapshot(import.meta.filename, 'shares of 1000 choices', {
+    'equal load spreads': countChoices([
+      candidate('a', near, 0.1),
+      candidate('b', near, 0.1),
+      candidate('c', near, 0.1),
+    ]),
+    'the busiest of three is avoided': countChoices([
+      candidate('a', near, 0.1),
+      candidate('b', near, 0.1),
+      candidate('busy', near, 0.5),
+    ]),
+    'near goes first': countChoices([candidate('a', near, 0.7), candidate('b', mid, 0.1)]),
+    'a loaded near one spills over': countChoices([
+      candidate('a', near, 0.9),
+      candidate('b', mid, 0.1),
+    ]),
+    'all loaded alike stay near': countChoices([
+      candidate('a', near, 0.9),
+      candidate('b', mid, 0.9),
+      candidate('c', far, 0.9),
+    ]),
+    'a returning near data centre at 20 %': countChoices([
+      candidate('a', near, 0.1, 0.2),
+      candidate('b', mid, 0.1),
+    ]),
+    'only a returning data centre is left': countChoices([candidate('a', near, 0.1, 0.05)]),
+    'own instance first': countChoices(
+      [candidate('own', near, 0.1), candidate('b', near, 0.1)],
+      'own',
+    ),
+    'own instance busier': countChoices(
+      [candidate('own', near, 0.3), candidate('b', near, 0.1)],
+      'own',
+    ),
+  });
+});
+
+test('ramp of a returning data centre over time', () => {
+  // Guards against a ramp that depends on anything but the configuration and the time.
+  const intent = {
+    name: 'ath-1',
+    region: 'hellas',
+    state: DataCentreState.In,
+    rampS: 30,
+    changedAtUnixMs: 1000,
+  };
+  const weights = [-5, 0, 3, 15, 29, 30, 600].map((s) => [
+    `${s} s`,
+    computeDataCentreWeight(intent, 1000 + s * 1000),
+  ]);
+  matchSnapshot(
+    import.meta.filename,
+    'ramp of a returning data centre',
+    Object.fromEntries(weights),
+  );
+  assert.equal(computeDataCentreWeight({ ...intent, state: DataCentreState.Out }, 1e12), 0);
+});
+
+const paths = [
+  '/tabs',
+  '/tabs/*',
+  '/tabs/:id',
+  '/tabs/:id/lines',
+  '/tabs/open',
+  '/:any/open',
+  '/*',
+];
+
+test('the most specific route matches, whatever the order of the index', () => {
+  // Guards against matches that depend on the order in which files were merged.
+  const asked = ['/tabs', '/tabs/', '/tabs/7', '/tabs/7?x=/a', '/tabs/7/lines', '/tabs/7/other']
+    .concat(['/tabs/open', '/tabs/open/lines', '/rounds/open', '/rounds/9/x', '/', 'tabs'])
+    .sort();
+  const match = (order: readonly string[]): object => {
+    const routeIndex = order.map((path) => ({ name: path, service: 's', method: 'GET', path }));
+    const table = new RouteTable({ mesh: { dataCentres: [], routeIndex } });
+    return Object.fromEntries(asked.map((path) => [path, table.find('GET', path)?.name ?? 'none']));
+  };
+  matchSnapshot(import.meta.filename, 'most specific route', match(paths));
+  fc.assert(
+    fc.property(fc.shuffledSubarray(paths, { minLength: paths.length }), (order) => {
+      assert.deepEqual(match(order), match(paths));
+    }),
+    { seed: 1, numRuns: 100 },
+  );
+});
+
+test('one member less changes one place of a subset', () => {
+  // Guards against subsets that move every connection when one member leaves.
+  const ids = Array.from({ length: 60 }, (_, index) => `m${index}`);
+  fc.assert(
+    fc.property(fc.string(), fc.integer({ min: 0, max: 59 }), (selfId, gone) => {
+      const before = new RendezvousRanking(selfId).top(ids, 12);
+      const after = new RendezvousRanking(selfId).top(
+        ids.filter((id) => id !== `m${gone}`),
+        12,
+      );
+      const kept = before.filter((id) => after.includes(id));
+      assert.equal(kept.length, before.includes(`m${gone}`) ? 11 : 12);
+    }),
+    { seed: 2, numRuns: 200 },
+  );
+});
+
+test('retries stay under the budget in a retry storm', () => {
+  // Guards against retries that multiply the load of a failing service.
+  fc.assert(
+    fc.property(
+      fc.array(fc.boolean(), { maxLength: 3000 }),
+      fc.integer({ min: 0, max: 100 }),
+      (isFirst, budgetPercent) => {
+        const budget = new TokenRetryBudget();
+        const taken = isFirst.filter((first) => {
+          if (first) budget.recordFirstAttempt('s');
+          return !first && budget.take('s', budgetPercent);
+        }).length;
+        const firsts = isFirst.filter(Boolean).length;
+        assert.ok(taken <= 10 + (firsts * budgetPercent) / 100 + 1e-6);
+        assert.ok(budgetPercent > 0 || taken === 0);
+      },
+    ),
+    { seed: 3, numRuns: 200 },
+  );
+});
+
+test('back-off doubles, one trial at a time, and a good trial returns the member', async () => {
+  // Guards against a herd of calls on a member that may still be down.
+  const clock = pauseClock();
+  const ejector = new OutlierEjector({ next: () => 0.5, below: () => 0 });
+  const report = (refusalReason?: RefusalReason, latencyMs = 0): void =>
+    ejector.report({
+      memberId: 'm',
+      service: 's',
+      hasFailed: refusalReason !== undefined,
+      latencyMs,
+      refusalReason,
+    });
+  const seen: string[] = [];
+  const note = (event: string): number => seen.push(`${event}: ${ejector.standingOf('m', 1)}`);
+  note('start');
+  report(RefusalReason.ConnectFailed);
+  note('refused');
+  report(RefusalReason.ConnectFailed);
+  await clock.advance(990);
+  report(undefined, 2000);
+  note('an answer of a call that began before the ejection');
+  note('990 ms later, a second refusal did not lengthen it');
+  await clock.advance(10);
+  note('1 s later');
+  ejector.begin('m');
+  note('trial runs');
+  report(RefusalReason.ConnectFailed);
+  note('trial failed');
+  await clock.advance(1990);
+  note('1.99 s later');
+  await clock.advance(10);
+  note('2 s later');
+  ejector.begin('m');
+  report(RefusalReason.QueueFull);
+  note('trial met a full queue');
+  ejector.begin('m');
+  report();
+  note('trial answered');
+  report(RefusalReason.Draining);
+  seen.push(`restarted: ${ejector.standingOf('m', 2)}`);
+  clock.resume();
+  assert.equal(ejector.standingOf('other', 1), EjectionStanding.In);
+  matchSnapshot(import.meta.filename, 'ejection', seen);
+});
--- a/packages/routing/src/outlier-ejector.ts
+++ b/packages/routing/src/outlier-ejector.ts
@@ -19,6 +19,7 @@
   /** Ejections in a row; a successful answer resets it. */
   ejections: number;
   isByRefusal: boolean;
+  ejectedAtMs: number;
   ejectedUntilMs: number;
   trialSinceMs: number | undefined;
 }
@@ -29,6 +30,7 @@
   unanswered: 0,
   ejections: 0,
   isByRefusal: false,
+  ejectedAtMs: Number.NEGATIVE_INFINITY,
   ejectedUntilMs: 0,
   trialSinceMs: undefined,
 });
@@ -77,6 +79,8 @@
   report(report: AttemptReport): void {
     const { refusalReason: reason } = report;
     const row = this.#rows.get(report.memberId);
+    // A draining member still answers the calls that it runs; they are no reason for its return.
+    if (row && monotonicNowMs() - report.latencyMs < row.ejectedAtMs) return;
     if (row) row.trialSinceMs = undefined;
     if (reason !== undefined && neutralReasons.has(reason)) return;
     if (reason !== undefined && ejectingReasons.has(reason)) {
@@ -110,6 +114,7 @@
     // Calls that were already running when the member was ejected do not lengthen the back-off.
     if (row.ejections > 0 && nowMs < row.ejectedUntilMs) return;
     row.ejections += 1;
+    row.ejectedAtMs = nowMs;
     const backOffMs = Math.min(backOffMaxMs, backOffFirstMs * 2 ** (row.ejections - 1));
     row.ejectedUntilMs = nowMs + backOffMs * (0.5 + this.random.next());
   }
