--- /dev/null
+++ b/packages/distribution/src/head-poller.ts
@@ -0,0 +1,103 @@
+import { logEvents, type Logger } from '@sequoiafield/logger';
+import {
+  monotonicNowMs,
+  wallNowUnixMs,
+  type RandomSource,
+  type System,
+  type Tick,
+} from '@sequoiafield/tables';
+import type { HeadRecord, MemberView } from '@sequoiafield/types';
+import type { HeadSource } from './sources.js';
+import { burstDelayMs, pollDelayMs, withTimeout } from './timing.js';
+
+const readTimeoutMs = 3000;
+/** Members that started within this time count as restarting together with this node. */
+const recentStartMs = 30_000;
+
+/** What a poller tells its node. */
+export interface PollListener {
+  onHead(head: HeadRecord | undefined, startedAtMs: number): void;
+  onFailure(): void;
+}
+
+/**
+ * Reads the head at a rate that keeps the store's load the same for any fleet size.
+ *
+ * @example
+ * const poller = new HeadPoller(source, members, random, logger, listener);
+ */
+export class HeadPoller implements System {
+  readonly name = 'head-poller';
+
+  #nextAtMs: number | undefined;
+
+  #isBusy = false;
+
+  #isStarted = false;
+
+  #failures = 0;
+
+  #reads = 0;
+
+  constructor(
+    private readonly source: HeadSource,
+    private readonly members: MemberView,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+    private readonly listener: PollListener,
+  ) {}
+
+  /** Head reads so far. */
+  get reads(): number {
+    return this.#reads;
+  }
+
+  /** Whether the last read failed. */
+  get isStoreDown(): boolean {
+    return this.#failures > 0;
+  }
+
+  start(): void {
+    this.#isStarted = true;
+  }
+
+  stop(): void {
+    this.#isStarted = false;
+  }
+
+  run(tick: Tick): void {
+    if (!this.#isStarted || this.#isBusy) return;
+    // The first read is spread over the nodes that restart at the same time.
+    this.#nextAtMs ??= tick.nowMs + burstDelayMs(this.#recentlyStarted(), this.random);
+    if (tick.nowMs < this.#nextAtMs) return;
+    this.#isBusy = true;
+    this.#poll().finally(() => {
+      this.#isBusy = false;
+      const delayMs = pollDelayMs(this.members.fleetSize(), this.#failures, this.random);
+      this.#nextAtMs = monotonicNowMs() + delayMs;
+    });
+  }
+
+  #recentlyStarted(): number {
+    const sinceUnixMs = wallNowUnixMs() - recentStartMs;
+    return [...this.members.all()].filter((row) => row.incarnation > sinceUnixMs).length;
+  }
+
+  async #poll(): Promise<void> {
+    const startedAtMs = monotonicNowMs();
+    this.#reads += 1;
+    try {
+      const head = await withTimeout(this.source.readHead(), readTimeoutMs, 'Head read');
+      if (this.#failures > 0) this.logger.log(logEvents.storeAvailable);
+      this.#failures = 0;
+      if (this.#isStarted) this.listener.onHead(head, startedAtMs);
+    } catch (error) {
+      if (this.#failures === 0) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.logger.log(logEvents.storeUnavailable, { reason });
+      }
+      this.#failures += 1;
+      this.listener.onFailure();
+    }
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/join-floor.ts
@@ -0,0 +1,135 @@
+import type { System, Tick } from '@sequoiafield/tables';
+import {
+  LinkRequestKind,
+  type LinkRequester,
+  type MemberAnnouncement,
+  type MemberView,
+} from '@sequoiafield/types';
+import type { Peers } from './peers.js';
+
+/** What a peer says to a joining node. */
+interface FloorAnswer {
+  /** Version that the peer has in force. */
+  readonly configVersion: number;
+  /** Highest version that the peer heard the asking instance announce. */
+  readonly heardConfigVersion: number;
+  readonly dataCentre: string;
+}
+
+const neededPeers = 3;
+const neededDataCentres = 2;
+const askedPeers = 6;
+const askIntervalMs = 1000;
+const askTimeoutMs = 900;
+
+/** What the floor needs of its node. */
+export interface FloorParts {
+  readonly members: MemberView;
+  readonly links: LinkRequester;
+  readonly peers: Peers;
+  readonly witnesses: () => readonly MemberAnnouncement[];
+  readonly seeds: () => readonly MemberAnnouncement[];
+  readonly ownVersion: () => number;
+}
+
+/**
+ * The minimum version that this node may serve: the head of the store, or, while the store does
+ * not answer, the highest version that enough peers hold or heard this instance announce.
+ *
+ * @example
+ * floor.setFromStore(head.configVersion);
+ * const mayServe = floor.value !== undefined && inForce >= floor.value;
+ */
+export class JoinFloor implements System {
+  readonly name = 'join-floor';
+
+  #value: number | undefined;
+
+  #isStoreDown = false;
+
+  #isBusy = false;
+
+  #nextAtMs = 0;
+
+  constructor(private readonly parts: FloorParts) {
+    parts.links.handle(LinkRequestKind.JoinFloor, (_, fromId) => this.#answer(fromId));
+  }
+
+  /** Undefined until it is known. */
+  get value(): number | undefined {
+    return this.#value;
+  }
+
+  setFromStore(configVersion: number): void {
+    this.#value ??= configVersion;
+  }
+
+  /** Tells that the store did not answer, so that peers decide. */
+  storeFailed(): void {
+    this.#isStoreDown = true;
+  }
+
+  run(tick: Tick): void {
+    const isNeeded = this.#value === undefined && this.#isStoreDown && !this.#isBusy;
+    if (!isNeeded || tick.nowMs < this.#nextAtMs) return;
+    this.#nextAtMs = tick.nowMs + askIntervalMs;
+    this.#isBusy = true;
+    this.#askPeers().finally(() => {
+      this.#isBusy = false;
+    });
+  }
+
+  async #askPeers(): Promise<void> {
+    const asked = this.#chooseAsked();
+    const answers = await Promise.all(asked.map((peer) => this.#ask(peer)));
+    const given = answers.filter((answer) => answer !== undefined);
+    if (given.length === 0 || !this.#isEnough(given)) return;
+    this.#value ??= Math.max(
+      ...given.flatMap((answer) => [answer.configVersion, answer.heardConfigVersion]),
+    );
+  }
+
+  #chooseAsked(): readonly MemberAnnouncement[] {
+    const asked = new Map<string, MemberAnnouncement>();
+    const sources = [this.parts.witnesses(), this.parts.peers.some(askedPeers), this.parts.seeds()];
+    for (const peer of sources.flat()) {
+      if (peer.id !== this.parts.members.selfId) asked.set(peer.id, peer);
+    }
+    return [...asked.values()].slice(0, 2 * askedPeers);
+  }
+
+  async #ask(peer: MemberAnnouncement): Promise<FloorAnswer | undefined> {
+    try {
+      const { links } = this.parts;
+      const answer = await links.request(peer, LinkRequestKind.JoinFloor, {}, askTimeoutMs);
+      const floor = answer as FloorAnswer | null;
+      const isGiven =
+        Number.isFinite(floor?.configVersion) && Number.isFinite(floor?.heardConfigVersion);
+      return floor && isGiven ? floor : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Fewer peers or data centres are enough only where the seeds name no more. */
+  #isEnough(answers: readonly FloorAnswer[]): boolean {
+    const seeds = this.parts.seeds().filter((seed) => seed.id !== this.parts.members.selfId);
+    const seedDataCentres = new Set(seeds.map((seed) => seed.dataCentre));
+    const dataCentres = new Set(answers.map((answer) => answer.dataCentre));
+    return (
+      answers.length >= Math.min(neededPeers, seeds.length) &&
+      dataCentres.size >= Math.min(neededDataCentres, seedDataCentres.size)
+    );
+  }
+
+  /** A node that does not know its own floor says nothing. */
+  #answer(fromId: string): FloorAnswer | null {
+    const { members, ownVersion } = this.parts;
+    if (this.#value === undefined || ownVersion() < this.#value || ownVersion() === 0) return null;
+    return {
+      configVersion: ownVersion(),
+      heardConfigVersion: members.get(fromId)?.configVersion ?? 0,
+      dataCentre: members.get(members.selfId)?.dataCentre ?? '',
+    };
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/snapshot-fetcher.ts
@@ -0,0 +1,212 @@
+import type { RandomSource } from '@sequoiafield/tables';
+import type {
+  HeadRecord,
+  Manifest,
+  MemberView,
+  MeshSection,
+  ServiceSection,
+  Snapshot,
+} from '@sequoiafield/types';
+import { failure } from './failure.js';
+import type { PeerExchange } from './peer-exchange.js';
+import type { Peers } from './peers.js';
+import { refusal, RefusedSnapshotError } from './refused-snapshot-error.js';
+import { applyDelta, type SectionCache } from './section-cache.js';
+import type { SnapshotGuard } from './snapshot-guard.js';
+import type { SnapshotHolder } from './snapshot-holder.js';
+import { meshSectionName, type HeadSource, type SectionChecker } from './sources.js';
+import { burstDelayMs, sleep, withTimeout } from './timing.js';
+
+/** Counts of where manifests and sections came from. */
+export interface FetchCounters {
+  fromPeers: number;
+  fromStore: number;
+  /** Bodies whose digest did not match. */
+  badDigests: number;
+}
+
+/** Where to look for a version first. */
+export interface FetchOrigin {
+  /** Peer that the head was heard from. */
+  readonly senderId: string | undefined;
+  /** True for a head so new that only this node, which read it from the store, may know it. */
+  readonly isStoreFirst: boolean;
+}
+
+/** What a fetcher needs of its node. */
+export interface FetcherParts {
+  readonly members: MemberView;
+  readonly random: RandomSource;
+  readonly cache: SectionCache;
+  readonly exchange: PeerExchange;
+  readonly peers: Peers;
+  readonly holder: SnapshotHolder;
+  readonly guard: SnapshotGuard;
+  readonly headSource: HeadSource;
+  readonly checker: SectionChecker;
+  /** Services to hold; undefined for all. */
+  readonly wanted: () => ReadonlySet<string> | undefined;
+}
+
+const storeTimeoutMs = 3000;
+
+/**
+ * Fetches manifest and sections, from peers first, and builds a checked snapshot.
+ *
+ * @example
+ * const snapshot = await fetcher.fetch(head, { senderId: 'node-7', isStoreFirst: false });
+ */
+export class SnapshotFetcher {
+  readonly counters: FetchCounters = { fromPeers: 0, fromStore: 0, badDigests: 0 };
+
+  constructor(private readonly parts: FetcherParts) {}
+
+  /**
+   * Resolves with a whole, checked snapshot. Rejects with `DistributionError` if a part could not
+   * be fetched, and with `RefusedSnapshotError` if its content is wrong, which no retry changes.
+   */
+  async fetch(head: HeadRecord, origin: FetchOrigin): Promise<Snapshot> {
+    const manifest = await this.#fetchManifest(head, origin);
+    const wanted = this.parts.wanted();
+    const names = Object.keys(manifest.sections).filter(
+      (name) => name === meshSectionName || !wanted || wanted.has(name),
+    );
+    await this.#fetchSections(manifest, names, origin);
+    return this.#build(head, manifest, names);
+  }
+
+  async #fetchManifest(head: HeadRecord, origin: FetchOrigin): Promise<Manifest> {
+    const { cache, checker } = this.parts;
+    const accept = (manifest: Manifest): Manifest => {
+      if (checker.digestManifest(manifest) !== head.manifestDigest) {
+        this.counters.badDigests += 1;
+        throw failure(`Manifest does not match digest ${head.manifestDigest}`);
+      }
+      cache.addManifest(head.manifestDigest, manifest);
+      return manifest;
+    };
+    const known = cache.manifest(head.manifestDigest);
+    if (known) return known;
+    if (origin.isStoreFirst) {
+      const stored = await this.#manifestFromStore(head).catch(() => undefined);
+      if (stored) return accept(stored);
+    }
+    const base = cache.manifest(this.parts.holder.current?.manifestDigest ?? '');
+    for (const peer of this.parts.peers.candidates(origin.senderId)) {
+      try {
+        const delta = await this.parts.exchange.askManifest(peer, head, base?.configVersion ?? 0);
+        const manifest = accept(applyDelta(base, delta));
+        this.counters.fromPeers += 1;
+        return manifest;
+      } catch {
+        // The next source is asked.
+      }
+    }
+    await this.#awaitStoreTurn();
+    return accept(await this.#manifestFromStore(head));
+  }
+
+  async #manifestFromStore(head: HeadRecord): Promise<Manifest> {
+    const read = this.parts.headSource.readManifest(head.manifestDigest);
+    const manifest = await withTimeout(read, storeTimeoutMs, 'Manifest read');
+    if (!manifest) throw failure(`Store holds no manifest ${head.manifestDigest}`);
+    this.counters.fromStore += 1;
+    return manifest;
+  }
+
+  async #fetchSections(
+    manifest: Manifest,
+    names: readonly string[],
+    origin: FetchOrigin,
+  ): Promise<void> {
+    const lacking = (): readonly string[] =>
+      names.filter((name) => !this.parts.cache.section(manifest.sections[name] ?? ''));
+    if (lacking().length === 0) return;
+    if (!origin.isStoreFirst) {
+      await this.#sectionsFromPeers(manifest, lacking, origin.senderId);
+      if (lacking().length === 0) return;
+      await this.#awaitStoreTurn();
+    }
+    for (const name of lacking()) {
+      const digest = manifest.sections[name] ?? '';
+      const read = this.parts.headSource.readSection(digest);
+      const body = await withTimeout(read, storeTimeoutMs, 'Section read').catch(() => undefined);
+      if (body !== undefined) {
+        this.counters.fromStore += 1;
+        this.#accept(name, digest, body);
+      }
+    }
+    if (lacking().length > 0 && origin.isStoreFirst) {
+      await this.#sectionsFromPeers(manifest, lacking, undefined);
+    }
+  }
+
+  async #sectionsFromPeers(
+    manifest: Manifest,
+    lacking: () => readonly string[],
+    senderId: string | undefined,
+  ): Promise<void> {
+    for (const peer of this.parts.peers.candidates(senderId)) {
+      const names = lacking();
+      if (names.length === 0) return;
+      const nameOf = new Map(names.map((name) => [manifest.sections[name] ?? '', name]));
+      try {
+        const bodies = await this.parts.exchange.askSections(peer, [...nameOf.keys()]);
+        for (const [digest, body] of bodies) {
+          const name = nameOf.get(digest);
+          if (name !== undefined && this.#accept(name, digest, body)) this.counters.fromPeers += 1;
+        }
+      } catch (error) {
+        if (error instanceof RefusedSnapshotError) throw error;
+        // The next source is asked.
+      }
+    }
+  }
+
+  /** Keeps a body if its digest matches; refuses it if it matches but breaks the schema. */
+  #accept(name: string, digest: string, body: string): boolean {
+    const { checker, cache } = this.parts;
+    if (checker.digestSection(body) !== digest) {
+      this.counters.badDigests += 1;
+      return false;
+    }
+    try {
+      const isMesh = name === meshSectionName;
+      const parsed = isMesh ? checker.parseMesh(body) : checker.parseService(body);
+      cache.addSection(digest, { body, parsed });
+      return true;
+    } catch (cause) {
+      throw refusal(`Section ${name} breaks the schema`, cause);
+    }
+  }
+
+  #build(head: HeadRecord, manifest: Manifest, names: readonly string[]): Snapshot {
+    const { guard, cache } = this.parts;
+    const held = new Map(
+      names.flatMap((name) => {
+        const section = cache.section(manifest.sections[name] ?? '');
+        return section ? [[name, section.parsed] as const] : [];
+      }),
+    );
+    const missing = guard.missing(names, new Set(held.keys()));
+    if (missing.length > 0) throw failure(`Sections are missing: ${missing.join(', ')}`);
+    const mesh = (held.get(meshSectionName) ?? { dataCentres: [], routeIndex: [] }) as MeshSection;
+    held.delete(meshSectionName);
+    const services = held as ReadonlyMap<string, ServiceSection>;
+    const dangling = guard.danglingReferences(mesh, services);
+    if (dangling.length > 0) {
+      throw refusal(`References are dangling: ${dangling.join('; ')}`);
+    }
+    return {
+      configVersion: head.configVersion,
+      manifestDigest: head.manifestDigest,
+      mesh,
+      services,
+    };
+  }
+
+  /** Spreads the store reads of nodes whose peers could not help at the same moment. */
+  #awaitStoreTurn(): Promise<void> {
+    return sleep(burstDelayMs(this.parts.members.fleetSize(), this.parts.random));
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/snapshot-guard.ts
@@ -0,0 +1,14 @@
+import type { MeshSection, ServiceSection, Snapshot } from '@sequoiafield/types';
+
+/** Rules that a candidate has to pass; tests replace one to show what it prevents. */
+export interface SnapshotGuard {
+  /** Whether the candidate may replace the snapshot in force. */
+  mayReplace(current: Snapshot | undefined, candidate: Snapshot): boolean;
+  /** Names of sections that are wanted but not held. */
+  missing(wantedNames: readonly string[], heldNames: ReadonlySet<string>): readonly string[];
+  /** Dangling references in words. */
+  danglingReferences(
+    mesh: MeshSection,
+    services: ReadonlyMap<string, ServiceSection>,
+  ): readonly string[];
+}
--- /dev/null
+++ b/packages/distribution/src/snapshot-holder.ts
@@ -0,0 +1,42 @@
+import type { HeadRecord, Snapshot } from '@sequoiafield/types';
+import type { SnapshotGuard } from './snapshot-guard.js';
+
+type SwapListener = (snapshot: Snapshot) => void;
+
+/**
+ * The snapshot in force; replaced as a whole and only as the guard allows.
+ *
+ * @example
+ * if (holder.swap(candidate)) announce(candidate.configVersion);
+ */
+export class SnapshotHolder {
+  #current: Snapshot | undefined;
+
+  readonly #listeners: SwapListener[] = [];
+
+  constructor(private readonly guard: SnapshotGuard) {}
+
+  get current(): Snapshot | undefined {
+    return this.#current;
+  }
+
+  /** Version in force; 0 before the first. */
+  get version(): number {
+    return this.#current?.configVersion ?? 0;
+  }
+
+  isBehind(head: HeadRecord): boolean {
+    return head.configVersion > this.version;
+  }
+
+  onSwap(listener: SwapListener): void {
+    this.#listeners.push(listener);
+  }
+
+  swap(candidate: Snapshot): boolean {
+    if (!this.guard.mayReplace(this.#current, candidate)) return false;
+    this.#current = Object.freeze(candidate);
+    for (const listener of this.#listeners) listener(candidate);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/strict-guard.ts
@@ -0,0 +1,35 @@
+import type { MeshSection, ServiceSection, Snapshot } from '@sequoiafield/types';
+import type { SnapshotGuard } from './snapshot-guard.js';
+import type { SectionChecker } from './sources.js';
+
+/**
+ * Only greater versions, only whole, only without dangling references.
+ *
+ * @example
+ * const guard = new StrictGuard(checker);
+ * if (guard.mayReplace(current, candidate)) swap(candidate);
+ */
+export class StrictGuard implements SnapshotGuard {
+  constructor(private readonly checker: Pick<SectionChecker, 'checkReferences'>) {}
+
+  mayReplace(current: Snapshot | undefined, candidate: Snapshot): boolean {
+    if (!current) return true;
+    if (candidate.configVersion !== current.configVersion) {
+      return candidate.configVersion > current.configVersion;
+    }
+    // The same version may gain services that were asked for later, never lose any.
+    const keepsAll = [...current.services.keys()].every((name) => candidate.services.has(name));
+    return candidate.manifestDigest === current.manifestDigest && keepsAll;
+  }
+
+  missing(wantedNames: readonly string[], heldNames: ReadonlySet<string>): readonly string[] {
+    return wantedNames.filter((name) => !heldNames.has(name));
+  }
+
+  danglingReferences(
+    mesh: MeshSection,
+    services: ReadonlyMap<string, ServiceSection>,
+  ): readonly string[] {
+    return this.checker.checkReferences(mesh, services);
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/test-fleet/fake-store.ts
@@ -0,0 +1,91 @@
+import { createHash } from 'node:crypto';
+import type { HeadRecord, Manifest, MeshSection, ServiceSection } from '@sequoiafield/types';
+import type { HeadSource, SectionChecker, SeedsRecord, StoredSeeds } from '../index.js';
+
+const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex');
+
+/** Digests and parses as the packages `config` and `store` do, on plain JSON. */
+export const jsonChecker: SectionChecker = {
+  digestSection: digestOf,
+  digestManifest: (manifest) => digestOf(JSON.stringify(Object.entries(manifest.sections).sort())),
+  parseMesh: (body) => JSON.parse(body) as MeshSection,
+  parseService: (body) => JSON.parse(body) as ServiceSection,
+  checkReferences: (_, services) =>
+    [...services.values()].flatMap(({ routes }) =>
+      routes.filter((route) => !services.has(route.service)).map((route) => route.name),
+    ),
+};
+
+/** Section of a service with one route; `target` is the service that the route names. */
+export const serviceBody = (name: string, mark: number, target = name): string =>
+  JSON.stringify({
+    service: { name, slots: mark },
+    routes: [{ name: `${name}-route`, service: target }],
+    moves: [],
+  });
+
+/** Key-value store stand-in in memory that can be down or slow and counts calls. */
+export class FakeStore implements HeadSource {
+  isDown = false;
+
+  delayMs = 5;
+
+  calls = 0;
+
+  head: HeadRecord | undefined;
+
+  readonly manifests = new Map<string, Manifest>();
+
+  readonly sections = new Map<string, string>();
+
+  readonly seeds = new Map<string, StoredSeeds>();
+
+  /** Accepts a configuration version; `bodies` maps section names to bodies. */
+  accept(configVersion: number, bodies: Readonly<Record<string, string>>): void {
+    const sections: Record<string, string> = {};
+    for (const [name, body] of Object.entries(bodies)) {
+      sections[name] = digestOf(body);
+      this.sections.set(digestOf(body), body);
+    }
+    const manifest = { configVersion, sections };
+    const manifestDigest = jsonChecker.digestManifest(manifest);
+    this.manifests.set(manifestDigest, manifest);
+    const acceptedAtUnixMs = Date.now();
+    const operationId = `operation-${configVersion}`;
+    this.head = { configVersion, manifestDigest, operationId, acceptedAtUnixMs, author: 'test' };
+  }
+
+  readHead(): Promise<HeadRecord | undefined> {
+    return this.#call(() => this.head);
+  }
+
+  readManifest(digest: string): Promise<Manifest | undefined> {
+    return this.#call(() => this.manifests.get(digest));
+  }
+
+  readSection(digest: string): Promise<string | undefined> {
+    return this.#call(() => this.sections.get(digest));
+  }
+
+  readSeeds(dataCentre: string): Promise<StoredSeeds | undefined> {
+    return this.#call(() => this.seeds.get(dataCentre));
+  }
+
+  writeSeeds(dataCentre: string, record: SeedsRecord, revision?: number): Promise<boolean> {
+    return this.#call(() => {
+      const current = this.seeds.get(dataCentre)?.revision;
+      if (current !== revision) return false;
+      this.seeds.set(dataCentre, { record, revision: (current ?? 0) + 1 });
+      return true;
+    });
+  }
+
+  async #call<T>(action: () => T): Promise<T> {
+    this.calls += 1;
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.delayMs);
+    });
+    if (this.isDown) throw new Error('Store is down');
+    return action();
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/test-fleet/test-fleet.ts
@@ -0,0 +1,67 @@
+import { SeededRandom } from '@sequoiafield/tables';
+import { FakeNetwork, pauseClock, type PausedClock } from '@sequoiafield/test-kit';
+import { FakeStore, serviceBody } from './fake-store.js';
+import { addressOf, TestNode, type Mechanisms } from './test-node.js';
+
+const mesh = JSON.stringify({ dataCentres: [], routeIndex: [] });
+
+/** Bodies of a configuration whose every section carries the version. */
+export const bodiesOf = (version: number): Record<string, string> => ({
+  mesh: JSON.stringify({ dataCentres: [], routeIndex: [], mark: version }),
+  rounds: serviceBody('rounds', version),
+  settlement: serviceBody('settlement', version),
+});
+
+/** A handful of nodes in three data centres and two regions, with one store. */
+export class TestFleet {
+  readonly clock: PausedClock = pauseClock();
+
+  readonly network: FakeNetwork;
+
+  readonly store = new FakeStore();
+
+  readonly nodes: TestNode[] = [];
+
+  constructor(
+    private readonly seed: number,
+    private readonly mechanisms: Mechanisms = {},
+  ) {
+    this.network = new FakeNetwork(new SeededRandom(seed));
+    this.store.accept(1, { mesh });
+  }
+
+  /** Starts nodes and runs until they know each other and serve. */
+  async start(count: number): Promise<void> {
+    this.store.accept(1, bodiesOf(1));
+    for (let index = 1; index <= count; index++) await this.startNode(index);
+    await this.clock.advance(8000);
+  }
+
+  /** Starts or restarts the node with a number. */
+  async startNode(index: number): Promise<TestNode> {
+    const seeds = (): TestNode['self'][] =>
+      this.nodes.filter((node) => node.self.address !== addressOf(index)).map((node) => node.self);
+    const node = new TestNode(index, this.seed, this.network, this.store, seeds, this.mechanisms);
+    await node.start(seeds().slice(0, 5));
+    this.nodes[index - 1] = node;
+    return node;
+  }
+
+  node(index: number): TestNode {
+    const node = this.nodes[index - 1];
+    if (!node) throw new Error(`Node ${index} was not started`);
+    return node;
+  }
+
+  /** Cuts every link between two groups of nodes. */
+  partition(left: readonly TestNode[], right: readonly TestNode[]): void {
+    for (const one of left) {
+      for (const other of right) this.network.cut(one.self.address, other.self.address);
+    }
+  }
+
+  stop(): void {
+    for (const node of this.nodes) node.kill();
+    this.clock.resume();
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/test-fleet/test-node.ts
@@ -0,0 +1,120 @@
+import { SilentLogger } from '@sequoiafield/logger';
+import {
+  createMembership,
+  type Membership,
+  type SpreadPolicy,
+  type SuspicionPolicy,
+} from '@sequoiafield/membership';
+import { SeededRandom, TickLoop } from '@sequoiafield/tables';
+import type { FakeNetwork } from '@sequoiafield/test-kit';
+import type { MemberAnnouncement, Snapshot } from '@sequoiafield/types';
+import { createDistribution, type Distribution, type SnapshotGuard } from '../index.js';
+import { jsonChecker, type FakeStore } from './fake-store.js';
+
+/** Mechanisms that a test replaces to show what they prevent. */
+export interface Mechanisms {
+  readonly guard?: SnapshotGuard;
+  readonly spreadPolicy?: SpreadPolicy;
+  readonly suspicionPolicy?: SuspicionPolicy;
+}
+
+/** Address of the node with a number. */
+export const addressOf = (index: number): string => `10.0.0.${index}`;
+
+/** Membership and distribution of one node on the fake network. */
+export class TestNode {
+  readonly self: MemberAnnouncement;
+
+  readonly membership: Membership;
+
+  readonly distribution: Distribution;
+
+  /** Versions in the order in which they came into force. */
+  readonly versions: number[] = [];
+
+  readonly snapshots: Snapshot[] = [];
+
+  readonly #loop: TickLoop;
+
+  constructor(
+    index: number,
+    seed: number,
+    private readonly network: FakeNetwork,
+    store: FakeStore,
+    seeds: () => readonly MemberAnnouncement[],
+    mechanisms: Mechanisms,
+  ) {
+    const dataCentre = `dc-${index % 3}`;
+    this.self = {
+      id: `node-${String(index).padStart(2, '0')}`,
+      incarnation: Date.now(),
+      address: addressOf(index),
+      gossipPort: 7000,
+      linkPort: 7001,
+      callPort: 7002,
+      region: index % 3 === 2 ? 'region-b' : 'region-a',
+      dataCentre,
+      service: index % 2 === 0 ? 'rounds' : 'settlement',
+      backendVersion: 'v1',
+    };
+    const random = new SeededRandom(seed * 1000 + index);
+    const logger = new SilentLogger();
+    const links = network.links(this.self.address, this.self.id);
+    this.membership = createMembership({
+      self: this.self,
+      logger,
+      random,
+      links,
+      port: network.port(this.self.address),
+      ownConfigVersion: () => this.distribution.configVersion(),
+      spreadPolicy: mechanisms.spreadPolicy,
+      suspicionPolicy: mechanisms.suspicionPolicy,
+    });
+    this.distribution = createDistribution({
+      members: this.membership.view,
+      registers: this.membership.registers,
+      links,
+      headSource: store,
+      checker: jsonChecker,
+      random,
+      logger,
+      lastRefreshedAtMs: () => this.membership.lastRefreshedAtMs(),
+      witnesses: () => this.membership.witnesses(),
+      seeds,
+      guard: mechanisms.guard,
+      onInForce: (snapshot) => {
+        this.versions.push(snapshot.configVersion);
+        this.snapshots.push(snapshot);
+        this.membership.announceConfigVersion();
+      },
+    });
+    const systems = [...this.membership.systems, ...this.distribution.systems];
+    this.#loop = new TickLoop(systems, (_, error) => {
+      throw error;
+    });
+  }
+
+  async start(seeds: readonly MemberAnnouncement[]): Promise<void> {
+    await this.membership.start();
+    this.membership.join(seeds);
+    this.distribution.start();
+    this.#loop.start();
+  }
+
+  kill(): void {
+    this.#loop.stop();
+    this.distribution.stop();
+    this.network.kill(this.self.address);
+  }
+
+  freeze(): void {
+    this.#loop.stop();
+    this.network.freeze(this.self.address);
+  }
+
+  thaw(): void {
+    this.network.thaw(this.self.address);
+    this.#loop.start();
+    this.#loop.runOnce();
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/timing.ts
@@ -0,0 +1,50 @@
+import type { RandomSource } from '@sequoiafield/tables';
+import { failure } from './failure.js';
+
+/** Head reads of the whole fleet per second, whatever its size. */
+const headReadsPerS = 20;
+/** Reads per second that the whole fleet may add at once: a tenth of what the store handles. */
+const burstReadsPerS = 200;
+const minPollMs = 500;
+const maxBackOffMs = 30_000;
+const maxBurstDelayMs = 15_000;
+
+/** Resolves after a time. */
+export const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/** Rejects with `DistributionError` if the promise takes longer than `timeoutMs`. */
+export const withTimeout = async <T>(
+  promise: Promise<T>,
+  timeoutMs: number,
+  what: string,
+): Promise<T> => {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<never>((_, reject) => {
+    timer = setTimeout(() => reject(failure(`${what} took over ${timeoutMs} ms`)), timeoutMs);
+  });
+  try {
+    return await Promise.race([promise, timeout]);
+  } finally {
+    clearTimeout(timer);
+  }
+};
+
+const exponential = (random: RandomSource): number => -Math.log(1 - random.next());
+
+/**
+ * Time until the next head read: exponential with a mean of `fleetSize / 20` s, at least 500 ms;
+ * doubled for each failure in a row, up to 30 s or the plain mean if that is longer.
+ */
+export const pollDelayMs = (fleetSize: number, failures: number, random: RandomSource): number => {
+  const meanMs = Math.max(minPollMs, (fleetSize / headReadsPerS) * 1000);
+  const backedOffMs = Math.min(Math.max(maxBackOffMs, meanMs), meanMs * 2 ** Math.min(failures, 8));
+  const drawnMs = exponential(random) * (failures > 0 ? backedOffMs : meanMs);
+  return Math.min(Math.max(minPollMs, drawnMs), 4 * backedOffMs);
+};
+
+/** Delay that spreads reads which `nodes` nodes may need at the same moment. */
+export const burstDelayMs = (nodes: number, random: RandomSource): number =>
+  random.next() * Math.min(maxBurstDelayMs, (nodes / burstReadsPerS) * 1000);
--- /dev/null
+++ b/packages/membership/src/gossip.ts
@@ -0,0 +1,296 @@
+import { monotonicNowMs, type System } from '@sequoiafield/tables';
+import {
+  MemberState,
+  RegisterKind,
+  type MemberAnnouncement,
+  type RegisterEntry,
+} from '@sequoiafield/types';
+import { ByteBudget } from './byte-budget.js';
+import { newCounters } from './counters.js';
+import type { DatagramPort } from './datagram-port.js';
+import type { GossipRow } from './gossip-row.js';
+import type { MembersTable } from './members-table.js';
+import type { PeerPicker } from './peer-picker.js';
+import type { SpreadPolicy } from './policies.js';
+import { isBehind, missingItems, readSummary, summarize } from './register-summary.js';
+import { headKey, type RegisterTable } from './register-table.js';
+import { itemOverheadBytes, RumourQueue } from './rumour-queue.js';
+import type { Suspicions } from './suspicions.js';
+import {
+  datagramMaxBytes,
+  decodeItem,
+  decodeMessage,
+  encodeMessage,
+  encodeRegister,
+  encodeRow,
+  encodeState,
+  ItemKind,
+  MessageType,
+  type Message,
+  type StateRumour,
+} from './wire.js';
+
+type MessageHandler = (message: Message) => void;
+type Destination = Pick<MemberAnnouncement, 'address' | 'gossipPort'>;
+
+interface PendingPush {
+  readonly key: string;
+  readonly bytes: Uint8Array;
+}
+
+/** Options of one datagram. */
+export interface SendOptions {
+  readonly sequence?: number;
+  readonly argument?: unknown;
+  /** Items that have to travel in this datagram, before the rumours. */
+  readonly items?: readonly Uint8Array[];
+  readonly hasRumours?: boolean;
+}
+
+/** Rate of sent bytes; half of the node's 15 KB/s, since about as many are received. */
+const sentBytesPerS = 6500;
+const sentBurstBytes = 13_000;
+/** Pushes are gathered for this long, so that many at once share datagrams. */
+const pushGatherMs = 20;
+
+/** What a gossip object needs of its node. */
+export interface GossipParts {
+  readonly members: MembersTable;
+  readonly registers: RegisterTable;
+  readonly suspicions: Suspicions;
+  readonly picker: PeerPicker;
+  readonly port: DatagramPort;
+  readonly policy: SpreadPolicy;
+  readonly ownConfigVersion: () => number;
+  /** Called for a state of a member or incarnation whose row is not held. */
+  readonly onUnknownMember: () => void;
+}
+
+/**
+ * Sends and receives datagrams, applies the items they carry and spreads what is news.
+ *
+ * @example
+ * gossip.on(MessageType.Ping, (message) => answer(message));
+ * gossip.send(MessageType.Ping, peer, { sequence: 7, hasRumours: true });
+ */
+export class Gossip implements System {
+  readonly name = 'gossip';
+
+  readonly counters = newCounters();
+
+  readonly #queue = new RumourQueue();
+
+  readonly #budget = new ByteBudget(sentBytesPerS, sentBurstBytes);
+
+  readonly #handlers = new Map<MessageType, MessageHandler>();
+
+  #pending: PendingPush[] = [];
+
+  #pushedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly parts: GossipParts) {
+    this.on(MessageType.RegisterSummary, (message) => this.#answerSummary(message));
+    parts.port.onMessage((bytes) => this.#receive(bytes));
+  }
+
+  get queuedRumours(): number {
+    return this.#queue.size;
+  }
+
+  on(type: MessageType, handler: MessageHandler): void {
+    this.#handlers.set(type, handler);
+  }
+
+  /** Sends the pushes that were gathered; runs each tick. */
+  run(): void {
+    this.#flush();
+  }
+
+  /** The own row as it stands now. */
+  ownRow(): GossipRow {
+    const { self } = this.parts.members;
+    self.configVersion = Math.max(self.configVersion, this.parts.ownConfigVersion());
+    return self;
+  }
+
+  send(type: MessageType, to: Destination, options: SendOptions = {}): void {
+    const items = [...(options.items ?? [])];
+    const { registers, members } = this.parts;
+    const compose = (): Uint8Array =>
+      encodeMessage({
+        type,
+        fromId: members.selfId,
+        fromIncarnation: members.self.incarnation,
+        headRank: registers.headRank,
+        registerHash: registers.hash,
+        sequence: options.sequence ?? 0,
+        argument: options.argument ?? null,
+        items,
+      });
+    if (options.hasRumours && this.#budget.hasLeft()) {
+      const leftBytes = datagramMaxBytes - compose().length - itemOverheadBytes;
+      const limit = this.parts.policy.sendLimit(members.fleetSize());
+      if (limit > 0) items.push(...this.#queue.take(leftBytes, limit));
+    }
+    this.#transmit(compose(), to);
+  }
+
+  /** Spreads a member's whole row: a new member or a new incarnation. */
+  spreadRow(row: GossipRow, isUrgent: boolean): void {
+    this.#spread(`row ${row.id}`, encodeRow(row), isUrgent);
+  }
+
+  /** Spreads a state of a member: suspicion, refutation, draining or leaving. */
+  spreadState(row: GossipRow, state: MemberState, observers: readonly string[] = []): void {
+    this.#spread(`state ${row.id}`, encodeState({ ...row, state, observers }), true);
+  }
+
+  spreadRegister(entry: RegisterEntry): void {
+    this.#spread(`register ${entry.kind} ${entry.key}`, encodeRegister(entry), true);
+  }
+
+  /** Raises the own refutation counter above what another node believes, and spreads it. */
+  refute(heard: { incarnation: number; refutation: number; state: MemberState }): void {
+    const own = this.ownRow();
+    const isSuspicion = heard.state === MemberState.Suspect || heard.state === MemberState.Dead;
+    if (!isSuspicion || heard.incarnation !== own.incarnation) return;
+    if (heard.refutation < own.refutation || own.state === MemberState.Left) return;
+    own.refutation = heard.refutation + 1;
+    this.spreadState(own, own.state);
+  }
+
+  #spread(key: string, bytes: Uint8Array, isUrgent: boolean): void {
+    this.#queue.put(key, bytes);
+    if (!isUrgent || this.parts.policy.pushFanOut === 0) return;
+    this.#pending = this.#pending.filter((pending) => pending.key !== key);
+    this.#pending.push({ key, bytes });
+    if (monotonicNowMs() - this.#pushedAtMs >= pushGatherMs) this.#flush();
+  }
+
+  #flush(): void {
+    if (this.#pending.length === 0) return;
+    if (!this.#budget.hasLeft()) {
+      this.counters.deferredPushes += 1;
+      return;
+    }
+    this.#pushedAtMs = monotonicNowMs();
+    const peers = this.parts.picker.pick(this.parts.policy.pushFanOut, true);
+    if (peers.length === 0) {
+      this.#pending = [];
+      return;
+    }
+    const batch = this.#takeBatch();
+    for (const peer of peers) this.send(MessageType.Push, peer, { items: batch });
+  }
+
+  /** Takes the newest pushes that fit one datagram; the rest stays for the next tick. */
+  #takeBatch(): Uint8Array[] {
+    const headerBytes = 160;
+    const batch: Uint8Array[] = [];
+    let usedBytes = headerBytes;
+    while (this.#pending.length > 0) {
+      const next = this.#pending[this.#pending.length - 1] as PendingPush;
+      usedBytes += next.bytes.length + itemOverheadBytes;
+      if (usedBytes > datagramMaxBytes && batch.length > 0) break;
+      this.#pending.pop();
+      batch.push(next.bytes);
+    }
+    return batch;
+  }
+
+  #transmit(bytes: Uint8Array, to: Destination): void {
+    this.counters.sentDatagrams += 1;
+    this.counters.sentBytes += bytes.length;
+    this.#budget.spend(bytes.length);
+    this.parts.port.send(bytes, to.gossipPort, to.address);
+  }
+
+  #receive(bytes: Uint8Array): void {
+    this.counters.receivedDatagrams += 1;
+    this.counters.receivedBytes += bytes.length;
+    try {
+      const message = decodeMessage(bytes);
+      if (message.fromId === this.parts.members.selfId) return;
+      for (const item of message.items) this.#apply(item, message.fromId);
+      this.#repair(message);
+      this.#handlers.get(message.type)?.(message);
+    } catch {
+      this.counters.droppedDatagrams += 1;
+    }
+  }
+
+  #apply(bytes: Uint8Array, fromId: string): void {
+    const item = decodeItem(bytes);
+    if (item.kind === ItemKind.Register) this.parts.registers.raise(item.entry, fromId);
+    else if (item.kind === ItemKind.State) this.#applyState(item.rumour);
+    else this.#applyRow(item.row);
+  }
+
+  #applyRow(row: GossipRow): void {
+    const { members } = this.parts;
+    if (row.id === members.selfId) {
+      this.refute(row);
+      return;
+    }
+    const wasIncarnation = members.get(row.id)?.incarnation;
+    if (!members.merge(row)) return;
+    const now = members.get(row.id);
+    if (!now) return;
+    const isNew = wasIncarnation !== now.incarnation;
+    if (isNew) this.spreadRow(now, false);
+    else this.spreadState(now, now.state);
+  }
+
+  #applyState(rumour: StateRumour): void {
+    const { members, suspicions } = this.parts;
+    if (rumour.id === members.selfId) {
+      this.refute(rumour);
+      return;
+    }
+    const known = members.belief(rumour.id);
+    if (!known || known.incarnation < rumour.incarnation) this.parts.onUnknownMember();
+    if (rumour.state !== MemberState.Suspect) {
+      const { id, incarnation, refutation, state } = rumour;
+      const isNews = members.mergeState(id, incarnation, refutation, state);
+      const row = members.get(id);
+      if (isNews && row) this.spreadState(row, row.state);
+      return;
+    }
+    // A suspicion of a later refutation shows that the member refuted an earlier one.
+    members.mergeState(rumour.id, rumour.incarnation, rumour.refutation, MemberState.Alive);
+    const { id, incarnation, refutation, observers } = rumour;
+    const isNews = suspicions.report(id, incarnation, refutation, observers);
+    const row = members.get(id);
+    if (isNews && row) this.spreadState(row, MemberState.Suspect, suspicions.observersOf(id));
+  }
+
+  /** Compares registers with a peer that was heard; pushes an older head or asks for the rest. */
+  #repair(message: Message): void {
+    const { members, registers, policy } = this.parts;
+    const isExchange = message.type === MessageType.Ping || message.type === MessageType.Ack;
+    const peer = members.get(message.fromId);
+    if (!policy.isRepairing || !isExchange || !peer) return;
+    if (message.registerHash === registers.hash) return;
+    const head = registers.read(RegisterKind.Head, headKey);
+    if (head && head.rank > message.headRank) {
+      this.send(MessageType.Push, peer, { items: [encodeRegister(head)] });
+    }
+    this.#sendSummary(peer, false);
+  }
+
+  #sendSummary(peer: GossipRow, isReply: boolean): void {
+    if (!this.#budget.hasLeft()) return;
+    const argument = summarize(this.parts.registers, isReply);
+    this.send(MessageType.RegisterSummary, peer, { argument });
+  }
+
+  /** Answers a summary with the entries that the peer lacks, and asks for those it is ahead in. */
+  #answerSummary(message: Message): void {
+    const peer = this.parts.members.get(message.fromId);
+    const summary = readSummary(message.argument);
+    if (!peer) return;
+    const items = missingItems(this.parts.registers, summary);
+    if (items.length > 0) this.send(MessageType.Push, peer, { items });
+    if (isBehind(this.parts.registers, summary) && !summary.isReply) this.#sendSummary(peer, true);
+  }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+export type { MembershipCounters } from './counters.js';
+export type { DatagramPort } from './datagram-port.js';
+export { createMembership, type Membership, type MembershipOptions } from './membership.js';
+export type { SpreadPolicy, SuspicionPolicy } from './policies.js';
+export { PushAndRepair } from './push-and-repair.js';
+export { QuorumSuspicion } from './quorum-suspicion.js';
+export { headKey } from './register-table.js';
+export { UdpPort } from './udp-port.js';
--- /dev/null
+++ b/packages/membership/src/joiner.ts
@@ -0,0 +1,130 @@
+import type { RandomSource, System, Tick } from '@sequoiafield/tables';
+import { MemberState, type MemberAnnouncement } from '@sequoiafield/types';
+import type { Gossip } from './gossip.js';
+import type { MembersTable } from './members-table.js';
+import type { PeerPicker } from './peer-picker.js';
+import type { Prober } from './prober.js';
+import type { RowSync } from './row-sync.js';
+
+/** Spreads the joins of a mass restart. */
+const joinJitterMs = 500;
+const retryMinMs = 500;
+const retryMaxMs = 10_000;
+/** Mean interval of digest exchanges with a random peer once joined. */
+const syncIntervalMs = 30_000;
+/** Rows that started to travel while this node joined may have missed it. */
+const firstSyncMs = 3000;
+/** Shortest time between two exchanges that unknown members cause. */
+const hastenedSyncMs = 3000;
+/** A node that learned of so few members after a join tries the seeds again with the next sync. */
+const loneFleetSize = 1;
+
+/**
+ * Joins through seeds with jitter and retries, then keeps the rows in step with random peers.
+ *
+ * @example
+ * await joiner.join(seeds);
+ */
+export class Joiner implements System {
+  readonly name = 'joiner';
+
+  #seeds: readonly MemberAnnouncement[] = [];
+
+  #isJoined = false;
+
+  #isBusy = false;
+
+  #nextAtMs = Number.POSITIVE_INFINITY;
+
+  #retryMs = retryMinMs;
+
+  #isFirstSync = true;
+
+  #startedAtMs = Number.NEGATIVE_INFINITY;
+
+  #waiting: (() => void)[] = [];
+
+  constructor(
+    private readonly members: MembersTable,
+    private readonly gossip: Gossip,
+    private readonly prober: Prober,
+    private readonly sync: RowSync,
+    private readonly picker: PeerPicker,
+    private readonly random: RandomSource,
+    private readonly isReady: () => boolean,
+  ) {}
+
+  /** Resolves once the rows of one peer are in; at once where no other seed exists. */
+  join(seeds: readonly MemberAnnouncement[]): Promise<void> {
+    const { self } = this.members;
+    this.#seeds = seeds.filter(
+      (seed) => seed.address !== self.address || seed.gossipPort !== self.gossipPort,
+    );
+    this.#nextAtMs = 0;
+    if (this.#seeds.length === 0) {
+      this.#isJoined = true;
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      this.#waiting.push(resolve);
+    });
+  }
+
+  /** Exchanges rows soon, since a rumour named a member whose row is not held. */
+  hasten(): void {
+    if (!this.#isJoined) return;
+    this.#nextAtMs = Math.min(this.#nextAtMs, this.#startedAtMs + hastenedSyncMs);
+  }
+
+  run(tick: Tick): void {
+    this.#announceReady();
+    if (this.#nextAtMs === 0) this.#nextAtMs = tick.nowMs + this.random.next() * joinJitterMs;
+    if (this.#isBusy || tick.nowMs < this.#nextAtMs) return;
+    this.#isBusy = true;
+    this.#startedAtMs = tick.nowMs;
+    this.#pull()
+      .then(
+        () => this.#onPulled(),
+        () => {
+          this.#retryMs = Math.min(retryMaxMs, this.#retryMs * 2);
+        },
+      )
+      .finally(() => {
+        this.#isBusy = false;
+        this.#nextAtMs = tick.nowMs + this.#meanDelayMs() * (0.5 + this.random.next());
+      });
+  }
+
+  #meanDelayMs(): number {
+    if (!this.#isJoined) return this.#retryMs;
+    if (!this.#isFirstSync) return syncIntervalMs;
+    this.#isFirstSync = false;
+    return firstSyncMs;
+  }
+
+  #announceReady(): void {
+    const { self } = this.members;
+    if (!this.#isJoined || self.state !== MemberState.Joining || !this.isReady()) return;
+    this.members.setState(self, MemberState.Alive);
+    this.gossip.spreadRow(this.gossip.ownRow(), true);
+  }
+
+  async #pull(): Promise<void> {
+    const isAlone = this.members.fleetSize() <= loneFleetSize;
+    if (this.#isJoined && !isAlone) {
+      await this.sync.pullFrom(this.picker.pick(1, false));
+      return;
+    }
+    const seed = this.#seeds[this.random.below(this.#seeds.length)];
+    if (!seed) return;
+    this.prober.greet(seed);
+    await this.sync.pullFrom([seed, ...this.picker.pick(3, true)]);
+  }
+
+  #onPulled(): void {
+    if (!this.#isJoined) this.gossip.spreadRow(this.gossip.ownRow(), true);
+    this.#isJoined = true;
+    this.#retryMs = retryMinMs;
+    for (const resolve of this.#waiting.splice(0)) resolve();
+  }
+}
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,155 @@
+import type { Logger } from '@sequoiafield/logger';
+import type { RandomSource, System } from '@sequoiafield/tables';
+import {
+  MemberState,
+  type DirectMessenger,
+  type FleetQuery,
+  type LinkRequester,
+  type MemberAnnouncement,
+  type MemberRow,
+  type MemberView,
+  type RegisterGossip,
+} from '@sequoiafield/types';
+import type { MembershipCounters } from './counters.js';
+import type { DatagramPort } from './datagram-port.js';
+import { TreeFleetQuery } from './fleet-query.js';
+import { Gossip } from './gossip.js';
+import { Joiner } from './joiner.js';
+import { MembersTable } from './members-table.js';
+import { GossipMessenger } from './messenger.js';
+import { PeerPicker } from './peer-picker.js';
+import type { SpreadPolicy, SuspicionPolicy } from './policies.js';
+import { Prober } from './prober.js';
+import { PushAndRepair } from './push-and-repair.js';
+import { QuorumSuspicion } from './quorum-suspicion.js';
+import { RegisterTable } from './register-table.js';
+import { RowSync } from './row-sync.js';
+import { Suspicions } from './suspicions.js';
+import { UdpPort } from './udp-port.js';
+import { encodeRow, MessageType } from './wire.js';
+
+/** What a node gives its membership. */
+export interface MembershipOptions {
+  /** Gossip port 0 lets the system choose; the view shows the bound port after `start`. */
+  readonly self: MemberAnnouncement;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly links: LinkRequester;
+  /** Configuration version in force on this node; 0 if none. */
+  readonly ownConfigVersion: () => number;
+  /** Whether the node may be announced as alive; until then it is announced as joining. */
+  readonly isReady?: () => boolean;
+  /** UDP by default. */
+  readonly port?: DatagramPort;
+  readonly suspicionPolicy?: SuspicionPolicy;
+  readonly spreadPolicy?: SpreadPolicy;
+}
+
+/** Members, registers and messages of one node. */
+export interface Membership {
+  readonly view: MemberView;
+  readonly registers: RegisterGossip;
+  readonly messenger: DirectMessenger;
+  readonly fleetQuery: FleetQuery;
+  readonly systems: readonly System[];
+  readonly counters: MembershipCounters;
+  /** Binds the socket; rejects with `MembershipError` if the address is in use. */
+  start(): Promise<void>;
+  stop(): void;
+  /** Resolves once the rows of one seed are in; retries with jitter until then. */
+  join(seeds: readonly MemberAnnouncement[]): Promise<void>;
+  announceDraining(): void;
+  announceLeft(): void;
+  /** Tells the witnesses of this node which configuration version it has in force. */
+  announceConfigVersion(): void;
+  /** Members that were told this node's configuration versions and can be asked after a restart. */
+  witnesses(): readonly MemberRow[];
+  /** Monotonic time of the last answered probe; minus infinity before the first. */
+  lastRefreshedAtMs(): number;
+}
+
+/** Witnesses of each node; one of them is in another data centre. */
+const witnessCount = 4;
+const expiryIntervalMs = 10_000;
+
+const expirySystem = (members: MembersTable): System => {
+  let nextAtMs = 0;
+  return {
+    name: 'member-expiry',
+    run: (tick) => {
+      if (tick.nowMs < nextAtMs) return;
+      nextAtMs = tick.nowMs + expiryIntervalMs;
+      members.expire(tick.nowMs);
+    },
+  };
+};
+
+/**
+ * Creates the membership of one node. Run its `systems` in the node's tick loop.
+ *
+ * @example
+ * const membership = createMembership({ self, logger, random, links, ownConfigVersion: () => 0 });
+ * await membership.start();
+ * await membership.join(seeds);
+ */
+export const createMembership = (options: MembershipOptions): Membership => {
+  const { logger, random, links } = options;
+  const port = options.port ?? new UdpPort();
+  const suspicionPolicy = options.suspicionPolicy ?? new QuorumSuspicion();
+  const policy = options.spreadPolicy ?? new PushAndRepair();
+  const self = {
+    ...options.self,
+    state: MemberState.Joining,
+    configVersion: 0,
+    stateChangedAtMs: 0,
+    refutation: 0,
+  };
+  const members = new MembersTable(self);
+  const picker = new PeerPicker(members, random);
+  const suspicions = new Suspicions(members, suspicionPolicy, logger);
+  let gossip: Gossip | undefined;
+  let joiner: Joiner | undefined;
+  const registers = new RegisterTable(self.id, (entry) => gossip?.spreadRegister(entry));
+  gossip = new Gossip({
+    members,
+    registers,
+    suspicions,
+    picker,
+    port,
+    policy,
+    ownConfigVersion: options.ownConfigVersion,
+    onUnknownMember: () => joiner?.hasten(),
+  });
+  const core = gossip;
+  const prober = new Prober(members, core, suspicions, picker, suspicionPolicy, random);
+  const sync = new RowSync(members, links);
+  const isReady = options.isReady ?? (() => true);
+  const joins = new Joiner(members, core, prober, sync, picker, random, isReady);
+  joiner = joins;
+  const announce = (state: MemberState): void => {
+    members.setState(self, state);
+    core.spreadState(core.ownRow(), state);
+  };
+  return {
+    view: members,
+    registers,
+    messenger: new GossipMessenger(members, core),
+    fleetQuery: new TreeFleetQuery(members, links, random),
+    systems: [prober, suspicions, joins, core, expirySystem(members)],
+    counters: core.counters,
+    start: async () => {
+      self.gossipPort = await port.bind(self.gossipPort, self.address);
+    },
+    stop: () => port.close(),
+    join: (seeds) => joins.join(seeds),
+    announceDraining: () => announce(MemberState.Draining),
+    announceLeft: () => announce(MemberState.Left),
+    announceConfigVersion: () => {
+      for (const witness of picker.witnesses(witnessCount)) {
+        core.send(MessageType.Push, witness, { items: [encodeRow(core.ownRow())] });
+      }
+    },
+    witnesses: () => picker.witnesses(witnessCount),
+    lastRefreshedAtMs: () => prober.ackedAtMs,
+  };
+};
--- /dev/null
+++ b/packages/membership/src/push-and-repair.ts
@@ -0,0 +1,12 @@
+import type { SpreadPolicy } from './policies.js';
+
+/** Push to 4 peers at first sight, repaired by digests. */
+export class PushAndRepair implements SpreadPolicy {
+  readonly pushFanOut = 4;
+
+  readonly isRepairing = true;
+
+  sendLimit(fleetSize: number): number {
+    return Math.ceil(Math.log2(fleetSize + 1)) + 2;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/quorum-suspicion.ts
@@ -0,0 +1,12 @@
+import type { SuspicionPolicy } from './policies.js';
+
+/** Two observers and 3 s, so that one broken link evicts nobody. */
+export class QuorumSuspicion implements SuspicionPolicy {
+  readonly indirectProbes = 3;
+
+  readonly refutationMs = 3000;
+
+  observersNeeded(fleetSize: number): number {
+    return fleetSize <= 3 ? 1 : 2;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/register-table.ts
@@ -0,0 +1,72 @@
+import { RegisterKind, type RegisterEntry, type RegisterGossip } from '@sequoiafield/types';
+import { hashText } from './hash.js';
+
+type RegisterHandler = (entry: RegisterEntry, fromId: string) => void;
+
+/** Key of the `Head` register; there is one head. */
+export const headKey = 'head';
+
+const registerId = (kind: RegisterKind, key: string): string => `${kind} ${key}`;
+
+const entryHash = (entry: RegisterEntry): number =>
+  hashText(`${entry.kind} ${entry.key} ${entry.rank}`);
+
+/**
+ * Monotone registers: an entry replaces another only by a higher rank.
+ *
+ * @example
+ * const registers = new RegisterTable('node-1', (entry) => push(entry));
+ * registers.publish({ kind: RegisterKind.Head, key: 'head', rank: 7, body });
+ */
+export class RegisterTable implements RegisterGossip {
+  readonly #entries = new Map<string, RegisterEntry>();
+
+  readonly #handlers = new Map<RegisterKind, RegisterHandler[]>();
+
+  #hash = 0;
+
+  constructor(
+    private readonly selfId: string,
+    private readonly spread: (entry: RegisterEntry) => void,
+  ) {}
+
+  /** Hash over all entries, equal on two nodes that hold the same ones. */
+  get hash(): number {
+    return this.#hash >>> 0;
+  }
+
+  get headRank(): number {
+    return this.read(RegisterKind.Head, headKey)?.rank ?? 0;
+  }
+
+  publish(entry: RegisterEntry): boolean {
+    return this.raise(entry, this.selfId);
+  }
+
+  read(kind: RegisterKind, key: string): RegisterEntry | undefined {
+    return this.#entries.get(registerId(kind, key));
+  }
+
+  subscribe(kind: RegisterKind, handler: RegisterHandler): void {
+    const handlers = this.#handlers.get(kind) ?? [];
+    handlers.push(handler);
+    this.#handlers.set(kind, handlers);
+  }
+
+  entries(): Iterable<RegisterEntry> {
+    return this.#entries.values();
+  }
+
+  /** Takes over an entry heard from `fromId` if its rank is the highest yet, and spreads it. */
+  raise(entry: RegisterEntry, fromId: string): boolean {
+    const id = registerId(entry.kind, entry.key);
+    const known = this.#entries.get(id);
+    if (known && known.rank >= entry.rank) return false;
+    if (known) this.#hash ^= entryHash(known);
+    this.#hash ^= entryHash(entry);
+    this.#entries.set(id, entry);
+    this.spread(entry);
+    for (const handler of this.#handlers.get(entry.kind) ?? []) handler(entry, fromId);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/row-sync.ts
@@ -0,0 +1,136 @@
+import {
+  LinkRequestKind,
+  MemberState,
+  type LinkRequester,
+  type MemberAnnouncement,
+} from '@sequoiafield/types';
+import { failure } from './failure.js';
+import type { GossipRow } from './gossip-row.js';
+import { hashText } from './hash.js';
+import type { MembersTable } from './members-table.js';
+import { rowToTuple, tupleToRow, type RowTuple } from './wire.js';
+
+/** Digests of 7,700 rows in 256 buckets cost 1 KB, and one differing bucket about 30 rows. */
+const bucketCount = 256;
+/** Rows in one answer, about 20 KB. */
+const pageRows = 200;
+const requestTimeoutMs = 2000;
+
+interface RowsAnswer {
+  readonly rows: readonly RowTuple[];
+  /** How many of the buckets asked for, in their order, are answered; at least 1. */
+  readonly coveredBuckets: number;
+}
+
+const bucketOf = (id: string): number => hashText(id) % bucketCount;
+
+/** Suspicion and death are each node's own conclusion, so they stay out of the digest. */
+const digestState = (state: MemberState): MemberState =>
+  state === MemberState.Draining || state === MemberState.Left ? state : MemberState.Alive;
+
+const rowHash = (row: GossipRow): number =>
+  hashText(`${row.id} ${row.incarnation} ${row.refutation} ${digestState(row.state)}`);
+
+const numbersOf = (value: unknown): readonly number[] => {
+  if (!Array.isArray(value) || !value.every((item) => Number.isInteger(item))) {
+    throw failure('Member sync request is malformed');
+  }
+  return value;
+};
+
+/**
+ * Exchanges member rows over links: digests of buckets first, then the rows that differ.
+ *
+ * @example
+ * const addedRows = await sync.pullFrom([seed]);
+ */
+export class RowSync {
+  constructor(
+    private readonly members: MembersTable,
+    private readonly links: LinkRequester,
+  ) {
+    links.handle(LinkRequestKind.MemberDigests, (body) => this.#differingBuckets(body));
+    links.handle(LinkRequestKind.MemberRows, (body) => this.#rowsOf(body));
+  }
+
+  /**
+   * Pulls the rows that differ; digests come from the first peer, pages from all in turn, so that
+   * no single peer pays for a joining node. Resolves with the number of merged rows; rejects with
+   * `MembershipError` if the first peer does not answer.
+   */
+  async pullFrom(peers: readonly MemberAnnouncement[]): Promise<number> {
+    const [first] = peers;
+    if (!first) return 0;
+    let buckets = numbersOf(
+      await this.#request(first, LinkRequestKind.MemberDigests, { digests: this.#digests() }),
+    );
+    let merged = 0;
+    for (let turn = 0; buckets.length > 0; turn++) {
+      const peer = peers[turn % peers.length] as MemberAnnouncement;
+      try {
+        const page = await this.#pullPage(peer, buckets);
+        merged += page.merged;
+        buckets = buckets.slice(page.coveredBuckets);
+      } catch (error) {
+        // The first peer answered before, so its failure ends the pull; others are just skipped.
+        if (peer === first) throw error;
+      }
+    }
+    return merged;
+  }
+
+  async #pullPage(
+    peer: MemberAnnouncement,
+    buckets: readonly number[],
+  ): Promise<{ merged: number; coveredBuckets: number }> {
+    const body = { buckets };
+    const answer = (await this.#request(
+      peer,
+      LinkRequestKind.MemberRows,
+      body,
+    )) as Partial<RowsAnswer> | null;
+    if (!Array.isArray(answer?.rows) || !Number.isInteger(answer.coveredBuckets)) {
+      throw failure(`Member rows of ${peer.id} are malformed`);
+    }
+    const merged = answer.rows.map(tupleToRow).filter((row) => this.members.merge(row));
+    return { merged: merged.length, coveredBuckets: Math.max(1, answer.coveredBuckets ?? 1) };
+  }
+
+  async #request(peer: MemberAnnouncement, kind: LinkRequestKind, body: unknown): Promise<unknown> {
+    try {
+      return await this.links.request(peer, kind, body, requestTimeoutMs);
+    } catch (cause) {
+      throw failure(`Member sync with ${peer.id || peer.address} failed`, cause);
+    }
+  }
+
+  #digests(): readonly number[] {
+    const digests = new Array<number>(bucketCount).fill(0);
+    for (const row of this.members.rows.rows()) {
+      const bucket = bucketOf(row.id);
+      digests[bucket] = ((digests[bucket] ?? 0) ^ rowHash(row)) >>> 0;
+    }
+    return digests;
+  }
+
+  #differingBuckets(body: unknown): readonly number[] {
+    const theirs = numbersOf((body as { digests?: unknown } | null)?.digests);
+    return this.#digests().flatMap((digest, bucket) => (digest === theirs[bucket] ? [] : [bucket]));
+  }
+
+  #rowsOf(body: unknown): RowsAnswer {
+    const buckets = numbersOf((body as { buckets?: unknown } | null)?.buckets);
+    const byBucket = new Map<number, RowTuple[]>(buckets.map((bucket) => [bucket, []]));
+    for (const row of this.members.rows.rows()) {
+      byBucket.get(bucketOf(row.id))?.push(rowToTuple(row));
+    }
+    const rows: RowTuple[] = [];
+    let coveredBuckets = 0;
+    for (const bucket of buckets) {
+      rows.push(...(byBucket.get(bucket) ?? []));
+      coveredBuckets += 1;
+      if (rows.length >= pageRows) break;
+    }
+    return { rows, coveredBuckets };
+  }
+}
--- /dev/null
+++ b/packages/membership/src/udp-port.ts
@@ -0,0 +1,49 @@
+import { createSocket } from 'node:dgram';
+import { failure } from './failure.js';
+import type { DatagramPort } from './datagram-port.js';
+
+/** Large enough that a burst of pushes outlasts a loop turn of some 100 ms. */
+const receiveBufferBytes = 1024 * 1024;
+
+/**
+ * Datagram port on a UDP socket.
+ *
+ * @example
+ * const port = new UdpPort();
+ * const gossipPort = await port.bind(0, '127.0.0.1');
+ */
+export class UdpPort implements DatagramPort {
+  readonly #socket = createSocket({ type: 'udp4', recvBufferSize: receiveBufferBytes });
+
+  #isClosed = false;
+
+  /** Resolves with the bound port; rejects with `MembershipError` if the address is in use. */
+  bind(port: number, address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const onError = (cause: Error): void => {
+        reject(failure(`Cannot bind UDP ${address}:${port}`, cause));
+      };
+      this.#socket.once('error', onError);
+      this.#socket.bind(port, address, () => {
+        this.#socket.off('error', onError);
+        // A send that fails is a lost datagram, which gossip tolerates.
+        this.#socket.on('error', () => undefined);
+        resolve(this.#socket.address().port);
+      });
+    });
+  }
+
+  send(bytes: Uint8Array, port: number, address: string): void {
+    if (!this.#isClosed) this.#socket.send(bytes, port, address, () => undefined);
+  }
+
+  onMessage(handler: (bytes: Uint8Array) => void): void {
+    this.#socket.on('message', handler);
+  }
+
+  close(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#socket.close();
+  }
+}
--- /dev/null
+++ b/packages/membership/src/wire.ts
@@ -0,0 +1,226 @@
+import { MemberState, RegisterKind, type RegisterEntry } from '@sequoiafield/types';
+import { Packr } from 'msgpackr';
+import { failure } from './failure.js';
+import type { GossipRow } from './gossip-row.js';
+
+/** Largest datagram; stays under the usual path MTU, so that none is fragmented. */
+export const datagramMaxBytes = 1200;
+
+/** First element of every datagram; another value means a foreign sender or wire format. */
+const wireTag = 'sqf1';
+
+/** Kinds of gossip datagrams. */
+export enum MessageType {
+  Ping = 1,
+  Ack = 2,
+  PingRequest = 3,
+  IndirectAck = 4,
+  Nack = 5,
+  Push = 6,
+  RegisterSummary = 7,
+  Direct = 8,
+}
+
+/** Kinds of items that a datagram carries. */
+export enum ItemKind {
+  Row = 0,
+  State = 1,
+  Register = 2,
+}
+
+/** A member's state without its addresses; `observers` says who suspects it. */
+export interface StateRumour {
+  readonly id: string;
+  readonly incarnation: number;
+  readonly refutation: number;
+  readonly state: MemberState;
+  readonly observers: readonly string[];
+}
+
+/** Decoded datagram. */
+export interface Message {
+  readonly type: MessageType;
+  readonly fromId: string;
+  readonly fromIncarnation: number;
+  /** Rank of the sender's `Head` register; 0 if it has none. */
+  readonly headRank: number;
+  /** Hash over all registers of the sender. */
+  readonly registerHash: number;
+  readonly sequence: number;
+  readonly argument: unknown;
+  readonly items: readonly Uint8Array[];
+}
+
+/** Decoded item of a datagram. */
+export type Item =
+  | { readonly kind: ItemKind.Row; readonly row: GossipRow }
+  | { readonly kind: ItemKind.State; readonly rumour: StateRumour }
+  | { readonly kind: ItemKind.Register; readonly entry: RegisterEntry };
+
+/** Elements of an encoded row, in wire order. */
+export type RowTuple = readonly [
+  id: string,
+  incarnation: number,
+  refutation: number,
+  state: MemberState,
+  configVersion: number,
+  address: string,
+  gossipPort: number,
+  linkPort: number,
+  callPort: number,
+  region: string,
+  dataCentre: string,
+  service: string,
+  backendVersion: string,
+];
+
+const packr = new Packr({ useRecords: false });
+
+const fail = (what: string): never => {
+  throw failure(`Datagram is malformed: ${what}`);
+};
+
+const asArray = (value: unknown, length: number, what: string): readonly unknown[] =>
+  Array.isArray(value) && value.length === length ? value : fail(what);
+
+const asText = (value: unknown, what: string): string =>
+  typeof value === 'string' && value.length <= 255 ? value : fail(what);
+
+const asCount = (value: unknown, what: string): number =>
+  typeof value === 'number' && Number.isFinite(value) && value >= 0 ? value : fail(what);
+
+const asState = (value: unknown): MemberState =>
+  typeof value === 'number' && MemberState[value] !== undefined ? value : fail('state');
+
+/** Wire order of a row. */
+export const rowToTuple = (row: GossipRow): RowTuple => [
+  row.id,
+  row.incarnation,
+  row.refutation,
+  row.state,
+  row.configVersion,
+  row.address,
+  row.gossipPort,
+  row.linkPort,
+  row.callPort,
+  row.region,
+  row.dataCentre,
+  row.service,
+  row.backendVersion,
+];
+
+/** Checks and converts a row that another node sent; throws `MembershipError`. */
+export const tupleToRow = (value: unknown): GossipRow => {
+  const tuple = asArray(value, 13, 'row');
+  return {
+    id: asText(tuple[0], 'id'),
+    incarnation: asCount(tuple[1], 'incarnation'),
+    refutation: asCount(tuple[2], 'refutation'),
+    state: asState(tuple[3]),
+    configVersion: asCount(tuple[4], 'configVersion'),
+    address: asText(tuple[5], 'address'),
+    gossipPort: asCount(tuple[6], 'gossipPort'),
+    linkPort: asCount(tuple[7], 'linkPort'),
+    callPort: asCount(tuple[8], 'callPort'),
+    region: asText(tuple[9], 'region'),
+    dataCentre: asText(tuple[10], 'dataCentre'),
+    service: asText(tuple[11], 'service'),
+    backendVersion: asText(tuple[12], 'backendVersion'),
+    stateChangedAtMs: 0,
+  };
+};
+
+/** Encodes a whole row as an item. */
+export const encodeRow = (row: GossipRow): Uint8Array =>
+  packr.pack([ItemKind.Row, rowToTuple(row)]);
+
+/** Encodes a state rumour as an item of about 40 bytes. */
+export const encodeState = (rumour: StateRumour): Uint8Array =>
+  packr.pack([
+    ItemKind.State,
+    [rumour.id, rumour.incarnation, rumour.refutation, rumour.state, rumour.observers],
+  ]);
+
+/** Encodes a register entry as an item. */
+export const encodeRegister = (entry: RegisterEntry): Uint8Array =>
+  packr.pack([ItemKind.Register, [entry.kind, entry.key, entry.rank, entry.body]]);
+
+const decodeState = (value: unknown): StateRumour => {
+  const tuple = asArray(value, 5, 'state rumour');
+  const observers = Array.isArray(tuple[4]) ? tuple[4] : fail('observers');
+  return {
+    id: asText(tuple[0], 'id'),
+    incarnation: asCount(tuple[1], 'incarnation'),
+    refutation: asCount(tuple[2], 'refutation'),
+    state: asState(tuple[3]),
+    observers: observers.slice(0, 8).map((observer) => asText(observer, 'observer')),
+  };
+};
+
+const decodeRegister = (value: unknown): RegisterEntry => {
+  const tuple = asArray(value, 4, 'register');
+  const kind = asCount(tuple[0], 'register kind');
+  if (RegisterKind[kind] === undefined) fail('register kind');
+  return {
+    kind,
+    key: asText(tuple[1], 'register key'),
+    rank: asCount(tuple[2], 'register rank'),
+    body: tuple[3],
+  };
+};
+
+const unpack = (bytes: Uint8Array): unknown => {
+  try {
+    return packr.unpack(bytes);
+  } catch (cause) {
+    throw failure('Datagram is malformed: not MessagePack', cause);
+  }
+};
+
+/** Decodes one item; throws `MembershipError`. */
+export const decodeItem = (bytes: Uint8Array): Item => {
+  const [kind, value] = asArray(unpack(bytes), 2, 'item');
+  if (kind === ItemKind.Row) return { kind, row: tupleToRow(value) };
+  if (kind === ItemKind.State) return { kind, rumour: decodeState(value) };
+  if (kind === ItemKind.Register) return { kind, entry: decodeRegister(value) };
+  return fail('item kind');
+};
+
+/**
+ * Encodes a datagram.
+ *
+ * @example
+ * port.send(encodeMessage({ ...head, type: MessageType.Ping, items: [encodeRow(self)] }), to);
+ */
+export const encodeMessage = (message: Message): Uint8Array =>
+  packr.pack([
+    wireTag,
+    message.type,
+    message.fromId,
+    message.fromIncarnation,
+    message.headRank,
+    message.registerHash,
+    message.sequence,
+    message.argument,
+    message.items,
+  ]);
+
+/** Decodes a datagram; throws `MembershipError` on malformed or foreign bytes. */
+export const decodeMessage = (bytes: Uint8Array): Message => {
+  const parts = asArray(unpack(bytes), 9, 'message');
+  if (parts[0] !== wireTag) fail('wire tag');
+  const type = asCount(parts[1], 'type');
+  if (MessageType[type] === undefined) fail('type');
+  const items = parts[8];
+  if (!Array.isArray(items) || !items.every((item) => item instanceof Uint8Array)) fail('items');
+  return {
+    type,
+    fromId: asText(parts[2], 'sender'),
+    fromIncarnation: asCount(parts[3], 'incarnation'),
+    headRank: asCount(parts[4], 'head rank'),
+    registerHash: asCount(parts[5], 'register hash'),
+    sequence: asCount(parts[6], 'sequence'),
+    argument: parts[7],
+    items: items as readonly Uint8Array[],
+  };
+};
--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -1,2 +1,3 @@
 export * from './clock.js';
+export * from './fake-network.js';
 export * from './snapshot.js';
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -79,6 +79,7 @@
   MemberDigests = 3,
   MemberRows = 4,
   FleetQuery = 5,
+  JoinFloor = 6,
 }
 
 /** Kinds of fleet queries: questions that every node answers and that are merged on the way. */
