Fit distribution and joins to the records of the store

Cause: seeds in the store name only id, address and gossip port, and the packages store and config settled their functions. Change: HeadSource and SectionChecker take the shape of ConfigRepository and of the functions of config; a joining node greets seeds by datagram and learns their link ports from the answer.

--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -11,7 +11,7 @@
 import { Freshness } from './freshness.js';
 import { HeadFollower } from './head-follower.js';
 import { HeadPoller } from './head-poller.js';
-import { JoinFloor } from './join-floor.js';
+import { JoinFloor, type FloorSeed } from './join-floor.js';
 import { PeerExchange } from './peer-exchange.js';
 import { Peers } from './peers.js';
 import { SectionCache } from './section-cache.js';
@@ -38,7 +38,7 @@
   /** From `Membership.witnesses`: peers that are asked first for the join floor. */
   readonly witnesses?: () => readonly MemberAnnouncement[];
   /** Seeds of the settings and of the store, as far as they are known. */
-  readonly seeds: () => readonly MemberAnnouncement[];
+  readonly seeds: () => readonly FloorSeed[];
   /** Called after each swap, for example with `Membership.announceConfigVersion`. */
   readonly onInForce?: (snapshot: Snapshot) => void;
   readonly guard?: SnapshotGuard;
--- a/packages/distribution/src/head-poller.ts
+++ b/packages/distribution/src/head-poller.ts
@@ -90,7 +90,7 @@
       const head = await withTimeout(this.source.readHead(), readTimeoutMs, 'Head read');
       if (this.#failures > 0) this.logger.log(logEvents.storeAvailable);
       this.#failures = 0;
-      if (this.#isStarted) this.listener.onHead(head, startedAtMs);
+      if (this.#isStarted) this.listener.onHead(head?.record, startedAtMs);
     } catch (error) {
       if (this.#failures === 0) {
         const reason = error instanceof Error ? error.message : String(error);
--- a/packages/distribution/src/join-floor.ts
+++ b/packages/distribution/src/join-floor.ts
@@ -16,6 +16,14 @@
   readonly dataCentre: string;
 }
 
+/** A seed as far as settings or store name it. */
+export interface FloorSeed {
+  readonly address: string;
+  readonly gossipPort: number;
+  /** Undefined if only the address is known. */
+  readonly dataCentre?: string;
+}
+
 const neededPeers = 3;
 const neededDataCentres = 2;
 const askedPeers = 6;
@@ -28,7 +36,7 @@
   readonly links: LinkRequester;
   readonly peers: Peers;
   readonly witnesses: () => readonly MemberAnnouncement[];
-  readonly seeds: () => readonly MemberAnnouncement[];
+  readonly seeds: () => readonly FloorSeed[];
   readonly ownVersion: () => number;
 }
 
@@ -91,11 +99,11 @@
 
   #chooseAsked(): readonly MemberAnnouncement[] {
     const asked = new Map<string, MemberAnnouncement>();
-    const sources = [this.parts.witnesses(), this.parts.peers.some(askedPeers), this.parts.seeds()];
+    const sources = [this.parts.witnesses(), this.parts.peers.some(askedPeers)];
     for (const peer of sources.flat()) {
       if (peer.id !== this.parts.members.selfId) asked.set(peer.id, peer);
     }
-    return [...asked.values()].slice(0, 2 * askedPeers);
+    return [...asked.values()];
   }
 
   async #ask(peer: MemberAnnouncement): Promise<FloorAnswer | undefined> {
@@ -113,8 +121,11 @@
 
   /** Fewer peers or data centres are enough only where the seeds name no more. */
   #isEnough(answers: readonly FloorAnswer[]): boolean {
-    const seeds = this.parts.seeds().filter((seed) => seed.id !== this.parts.members.selfId);
-    const seedDataCentres = new Set(seeds.map((seed) => seed.dataCentre));
+    const self = this.parts.members.get(this.parts.members.selfId);
+    const seeds = this.parts
+      .seeds()
+      .filter((seed) => seed.address !== self?.address || seed.gossipPort !== self.gossipPort);
+    const seedDataCentres = new Set(seeds.map((seed) => this.#dataCentreOf(seed)));
     const dataCentres = new Set(answers.map((answer) => answer.dataCentre));
     return (
       answers.length >= Math.min(neededPeers, seeds.length) &&
@@ -122,6 +133,15 @@
     );
   }
 
+  /** A seed whose data centre is not known counts as one of its own. */
+  #dataCentreOf(seed: FloorSeed): string {
+    if (seed.dataCentre !== undefined) return seed.dataCentre;
+    const known = [...this.parts.members.all()].find(
+      (row) => row.address === seed.address && row.gossipPort === seed.gossipPort,
+    );
+    return known?.dataCentre ?? `${seed.address}:${seed.gossipPort}`;
+  }
+
   /** A node that does not know its own floor says nothing. */
   #answer(fromId: string): FloorAnswer | null {
     const { members, ownVersion } = this.parts;
--- a/packages/distribution/src/section-cache.ts
+++ b/packages/distribution/src/section-cache.ts
@@ -1,9 +1,10 @@
-import type { Manifest, MeshSection, ServiceSection } from '@sequoiafield/types';
+import type { Manifest } from '@sequoiafield/types';
+import type { ParsedSection } from './sources.js';
 
 /** A section that passed its digest and schema check. */
 export interface CachedSection {
   readonly body: string;
-  readonly parsed: MeshSection | ServiceSection;
+  readonly parsed: ParsedSection;
 }
 
 /** Manifests kept so that peers that are a few versions behind get a delta. */
--- a/packages/distribution/src/seeds-keeper.ts
+++ b/packages/distribution/src/seeds-keeper.ts
@@ -1,11 +1,12 @@
 import { wallNowUnixMs, type RandomSource, type System, type Tick } from '@sequoiafield/tables';
 import {
   MemberState,
-  type MemberAnnouncement,
   type MemberRow,
   type MemberView,
+  type Seed,
+  type SeedRecord,
 } from '@sequoiafield/types';
-import type { HeadSource, SeedsRecord } from './sources.js';
+import type { HeadSource } from './sources.js';
 import { withTimeout } from './timing.js';
 
 /** Seeds of one data centre. */
@@ -17,19 +18,6 @@
 const checkIntervalMs = 5000;
 const storeTimeoutMs = 3000;
 
-const announcementOf = (row: MemberRow): MemberAnnouncement => ({
-  id: row.id,
-  incarnation: row.incarnation,
-  address: row.address,
-  gossipPort: row.gossipPort,
-  linkPort: row.linkPort,
-  callPort: row.callPort,
-  region: row.region,
-  dataCentre: row.dataCentre,
-  service: row.service,
-  backendVersion: row.backendVersion,
-});
-
 /**
  * Keeps the seeds record of the own data centre fresh with few reads and fewer writes.
  *
@@ -81,24 +69,28 @@
     const read = this.source.readSeeds(dataCentre);
     const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
     if (stored && !this.#isStale(stored.record, alive)) return;
-    const record = { members: this.#choose(alive), writtenAtUnixMs: wallNowUnixMs() };
-    const write = this.source.writeSeeds(dataCentre, record, stored?.revision);
+    const seeds = this.#choose(alive);
+    const record = { dataCentre, refreshedAtUnixMs: wallNowUnixMs(), seeds };
+    const write = this.source.writeSeeds(record, stored?.revision);
     await withTimeout(write, storeTimeoutMs, 'Seeds write');
   }
 
-  #isStale(record: SeedsRecord, alive: readonly MemberRow[]): boolean {
-    const isOld = wallNowUnixMs() - record.writtenAtUnixMs > staleRecordMs;
-    const incarnations = new Map(alive.map((row) => [row.id, row.incarnation]));
-    const current = record.members.filter((seed) => incarnations.get(seed.id) === seed.incarnation);
+  #isStale(record: SeedRecord, alive: readonly MemberRow[]): boolean {
+    const isOld = wallNowUnixMs() - record.refreshedAtUnixMs > staleRecordMs;
+    const rows = new Map(alive.map((row) => [row.id, row]));
+    const current = record.seeds.filter(({ id, address, gossipPort }) => {
+      const row = rows.get(id);
+      return row?.address === address && row.gossipPort === gossipPort;
+    });
     return isOld || current.length < Math.min(minAliveSeeds, alive.length);
   }
 
-  #choose(alive: readonly MemberRow[]): readonly MemberAnnouncement[] {
+  #choose(alive: readonly MemberRow[]): readonly Seed[] {
     const left = [...alive];
-    const chosen: MemberAnnouncement[] = [];
+    const chosen: Seed[] = [];
     while (chosen.length < seedCount && left.length > 0) {
       const [row] = left.splice(this.random.below(left.length), 1);
-      if (row) chosen.push(announcementOf(row));
+      if (row) chosen.push({ id: row.id, address: row.address, gossipPort: row.gossipPort });
     }
     return chosen;
   }
--- a/packages/distribution/src/snapshot-fetcher.ts
+++ b/packages/distribution/src/snapshot-fetcher.ts
@@ -78,7 +78,7 @@
   async #fetchManifest(head: HeadRecord, origin: FetchOrigin): Promise<Manifest> {
     const { cache, checker } = this.parts;
     const accept = (manifest: Manifest): Manifest => {
-      if (checker.digestManifest(manifest) !== head.manifestDigest) {
+      if (checker.digestOf(checker.toCanonicalJson(manifest)) !== head.manifestDigest) {
         this.counters.badDigests += 1;
         throw failure(`Manifest does not match digest ${head.manifestDigest}`);
       }
@@ -109,7 +109,6 @@
   async #manifestFromStore(head: HeadRecord): Promise<Manifest> {
     const read = this.parts.headSource.readManifest(head.manifestDigest);
     const manifest = await withTimeout(read, storeTimeoutMs, 'Manifest read');
-    if (!manifest) throw failure(`Store holds no manifest ${head.manifestDigest}`);
     this.counters.fromStore += 1;
     return manifest;
   }
@@ -129,11 +128,11 @@
     }
     for (const name of lacking()) {
       const digest = manifest.sections[name] ?? '';
-      const read = this.parts.headSource.readSection(digest);
-      const body = await withTimeout(read, storeTimeoutMs, 'Section read').catch(() => undefined);
-      if (body !== undefined) {
+      const read = this.parts.headSource.readSection(name, digest);
+      const stored = await withTimeout(read, storeTimeoutMs, 'Section read').catch(() => undefined);
+      if (stored) {
         this.counters.fromStore += 1;
-        this.#accept(name, digest, body);
+        this.#accept(name, digest, stored.body);
       }
     }
     if (lacking().length > 0 && origin.isStoreFirst) {
@@ -166,13 +165,12 @@
   /** Keeps a body if its digest matches; refuses it if it matches but breaks the schema. */
   #accept(name: string, digest: string, body: string): boolean {
     const { checker, cache } = this.parts;
-    if (checker.digestSection(body) !== digest) {
+    if (checker.digestOf(body) !== digest) {
       this.counters.badDigests += 1;
       return false;
     }
     try {
-      const isMesh = name === meshSectionName;
-      const parsed = isMesh ? checker.parseMesh(body) : checker.parseService(body);
+      const parsed = checker.parseSection(name, body);
       cache.addSection(digest, { body, parsed });
       return true;
     } catch (cause) {
@@ -190,10 +188,13 @@
     );
     const missing = guard.missing(names, new Set(held.keys()));
     if (missing.length > 0) throw failure(`Sections are missing: ${missing.join(', ')}`);
-    const mesh = (held.get(meshSectionName) ?? { dataCentres: [], routeIndex: [] }) as MeshSection;
-    held.delete(meshSectionName);
-    const services = held as ReadonlyMap<string, ServiceSection>;
-    const dangling = guard.danglingReferences(mesh, services);
+    let mesh: MeshSection = { dataCentres: [], routeIndex: [] };
+    const services = new Map<string, ServiceSection>();
+    for (const [name, parsed] of held) {
+      if (parsed.kind === 'mesh') mesh = parsed.mesh;
+      else services.set(name, parsed.section);
+    }
+    const dangling = guard.danglingReferences({ mesh, services }, manifest);
     if (dangling.length > 0) {
       throw refusal(`References are dangling: ${dangling.join('; ')}`);
     }
--- a/packages/distribution/src/snapshot-guard.ts
+++ b/packages/distribution/src/snapshot-guard.ts
@@ -1,4 +1,4 @@
-import type { MeshSection, ServiceSection, Snapshot } from '@sequoiafield/types';
+import type { Manifest, Snapshot } from '@sequoiafield/types';
 
 /** Rules that a candidate has to pass; tests replace one to show what it prevents. */
 export interface SnapshotGuard {
@@ -8,7 +8,7 @@
   missing(wantedNames: readonly string[], heldNames: ReadonlySet<string>): readonly string[];
   /** Dangling references in words. */
   danglingReferences(
-    mesh: MeshSection,
-    services: ReadonlyMap<string, ServiceSection>,
+    snapshot: Pick<Snapshot, 'mesh' | 'services'>,
+    manifest: Manifest,
   ): readonly string[];
 }
--- a/packages/distribution/src/sources.ts
+++ b/packages/distribution/src/sources.ts
@@ -1,53 +1,50 @@
 import type {
   HeadRecord,
   Manifest,
-  MemberAnnouncement,
   MeshSection,
+  SeedRecord,
   ServiceSection,
+  Snapshot,
 } from '@sequoiafield/types';
 
-/** Recent node addresses of one data centre, kept in the store. */
-export interface SeedsRecord {
-  readonly members: readonly MemberAnnouncement[];
-  readonly writtenAtUnixMs: number;
-}
-
 /** A seeds record with the revision that a compare-and-swap write names. */
 export interface StoredSeeds {
-  readonly record: SeedsRecord;
+  readonly record: SeedRecord;
   readonly revision: number;
 }
 
-/** What distribution reads and writes in the platform's store; each call may reject. */
+/**
+ * What distribution reads and writes in the platform's store; each call may reject.
+ * `ConfigRepository` of the package `store` fits.
+ */
 export interface HeadSource {
   /** Undefined before the first configuration was accepted. */
-  readHead(): Promise<HeadRecord | undefined>;
-  readManifest(digest: string): Promise<Manifest | undefined>;
+  readHead(): Promise<{ readonly record: HeadRecord } | undefined>;
+  readManifest(digest: string): Promise<Manifest>;
   /** Body of a section as it was written. */
-  readSection(digest: string): Promise<string | undefined>;
+  readSection(name: string, digest: string): Promise<{ readonly body: string }>;
   readSeeds(dataCentre: string): Promise<StoredSeeds | undefined>;
-  /** `revision` undefined creates the record; resolves with false if another write came first. */
-  writeSeeds(
-    dataCentre: string,
-    record: SeedsRecord,
-    revision: number | undefined,
-  ): Promise<boolean>;
+  /** `readRevision` undefined creates the record; false if another write came first. */
+  writeSeeds(record: SeedRecord, readRevision: number | undefined): Promise<boolean>;
 }
 
-/** Digests and checks of configuration bodies. */
+/** A checked section. */
+export type ParsedSection =
+  | { readonly kind: 'mesh'; readonly mesh: MeshSection }
+  | { readonly kind: 'service'; readonly section: ServiceSection };
+
+/** Digests and checks of configuration bodies; the functions of the package `config` fit. */
 export interface SectionChecker {
-  /** SHA-256 (hex) of a section body. */
-  digestSection(body: string): string;
-  /** SHA-256 (hex) that the head record names for a manifest. */
-  digestManifest(manifest: Manifest): string;
-  /** Parses and checks the `mesh` section; throws if it does not match the schema. */
-  parseMesh(body: string): MeshSection;
-  /** Parses and checks a service section; throws if it does not match the schema. */
-  parseService(body: string): ServiceSection;
+  /** SHA-256 (hex) of a text. */
+  digestOf(text: string): string;
+  /** Text of a manifest that the head's digest was computed over. */
+  toCanonicalJson(manifest: Manifest): string;
+  /** Parses a section and checks its schema; throws if it is wrong. */
+  parseSection(name: string, body: string): ParsedSection;
   /** Dangling references in words, empty if there are none. */
   checkReferences(
-    mesh: MeshSection,
-    services: ReadonlyMap<string, ServiceSection>,
+    snapshot: Pick<Snapshot, 'mesh' | 'services'>,
+    manifest: Manifest,
   ): readonly string[];
 }
 
--- a/packages/distribution/src/strict-guard.ts
+++ b/packages/distribution/src/strict-guard.ts
@@ -1,4 +1,4 @@
-import type { MeshSection, ServiceSection, Snapshot } from '@sequoiafield/types';
+import type { Manifest, Snapshot } from '@sequoiafield/types';
 import type { SnapshotGuard } from './snapshot-guard.js';
 import type { SectionChecker } from './sources.js';
 
@@ -27,9 +27,9 @@
   }
 
   danglingReferences(
-    mesh: MeshSection,
-    services: ReadonlyMap<string, ServiceSection>,
+    snapshot: Pick<Snapshot, 'mesh' | 'services'>,
+    manifest: Manifest,
   ): readonly string[] {
-    return this.checker.checkReferences(mesh, services);
+    return this.checker.checkReferences(snapshot, manifest);
   }
 }
--- a/packages/distribution/src/test-fleet/fake-store.ts
+++ b/packages/distribution/src/test-fleet/fake-store.ts
@@ -1,16 +1,24 @@
 import { createHash } from 'node:crypto';
-import type { HeadRecord, Manifest, MeshSection, ServiceSection } from '@sequoiafield/types';
-import type { HeadSource, SectionChecker, SeedsRecord, StoredSeeds } from '../index.js';
+import type {
+  HeadRecord,
+  Manifest,
+  MeshSection,
+  SeedRecord,
+  ServiceSection,
+} from '@sequoiafield/types';
+import type { HeadSource, SectionChecker, StoredSeeds } from '../index.js';
 
 const digestOf = (text: string): string => createHash('sha256').update(text).digest('hex');
 
 /** Digests and parses as the packages `config` and `store` do, on plain JSON. */
 export const jsonChecker: SectionChecker = {
-  digestSection: digestOf,
-  digestManifest: (manifest) => digestOf(JSON.stringify(Object.entries(manifest.sections).sort())),
-  parseMesh: (body) => JSON.parse(body) as MeshSection,
-  parseService: (body) => JSON.parse(body) as ServiceSection,
-  checkReferences: (_, services) =>
+  digestOf,
+  toCanonicalJson: (manifest) => JSON.stringify(Object.entries(manifest.sections).sort()),
+  parseSection: (name, body) =>
+    name === 'mesh'
+      ? { kind: 'mesh', mesh: JSON.parse(body) as MeshSection }
+      : { kind: 'service', section: JSON.parse(body) as ServiceSection },
+  checkReferences: ({ services }) =>
     [...services.values()].flatMap(({ routes }) =>
       routes.filter((route) => !services.has(route.service)).map((route) => route.name),
     ),
@@ -24,6 +32,11 @@
     moves: [],
   });
 
+const required = <T>(value: T | undefined): T => {
+  if (value === undefined) throw new Error('Store holds no such key');
+  return value;
+};
+
 /** Key-value store stand-in in memory that can be down or slow and counts calls. */
 export class FakeStore implements HeadSource {
   isDown = false;
@@ -48,34 +61,34 @@
       this.sections.set(digestOf(body), body);
     }
     const manifest = { configVersion, sections };
-    const manifestDigest = jsonChecker.digestManifest(manifest);
+    const manifestDigest = digestOf(jsonChecker.toCanonicalJson(manifest));
     this.manifests.set(manifestDigest, manifest);
     const acceptedAtUnixMs = Date.now();
     const operationId = `operation-${configVersion}`;
     this.head = { configVersion, manifestDigest, operationId, acceptedAtUnixMs, author: 'test' };
   }
 
-  readHead(): Promise<HeadRecord | undefined> {
-    return this.#call(() => this.head);
+  readHead(): Promise<{ record: HeadRecord } | undefined> {
+    return this.#call(() => this.head && { record: this.head });
   }
 
-  readManifest(digest: string): Promise<Manifest | undefined> {
-    return this.#call(() => this.manifests.get(digest));
+  readManifest(digest: string): Promise<Manifest> {
+    return this.#call(() => required(this.manifests.get(digest)));
   }
 
-  readSection(digest: string): Promise<string | undefined> {
-    return this.#call(() => this.sections.get(digest));
+  readSection(_: string, digest: string): Promise<{ body: string }> {
+    return this.#call(() => ({ body: required(this.sections.get(digest)) }));
   }
 
   readSeeds(dataCentre: string): Promise<StoredSeeds | undefined> {
     return this.#call(() => this.seeds.get(dataCentre));
   }
 
-  writeSeeds(dataCentre: string, record: SeedsRecord, revision?: number): Promise<boolean> {
+  writeSeeds(record: SeedRecord, revision?: number): Promise<boolean> {
     return this.#call(() => {
-      const current = this.seeds.get(dataCentre)?.revision;
+      const current = this.seeds.get(record.dataCentre)?.revision;
       if (current !== revision) return false;
-      this.seeds.set(dataCentre, { record, revision: (current ?? 0) + 1 });
+      this.seeds.set(record.dataCentre, { record, revision: (current ?? 0) + 1 });
       return true;
     });
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,6 @@
 export type { MembershipCounters } from './counters.js';
 export type { DatagramPort } from './datagram-port.js';
+export type { SeedAddress } from './joiner.js';
 export { createMembership, type Membership, type MembershipOptions } from './membership.js';
 export type { SpreadPolicy, SuspicionPolicy } from './policies.js';
 export { PushAndRepair } from './push-and-repair.js';
--- a/packages/membership/src/joiner.ts
+++ b/packages/membership/src/joiner.ts
@@ -1,5 +1,6 @@
 import type { RandomSource, System, Tick } from '@sequoiafield/tables';
-import { MemberState, type MemberAnnouncement } from '@sequoiafield/types';
+import { MemberState, type Seed } from '@sequoiafield/types';
+import { failure } from './failure.js';
 import type { Gossip } from './gossip.js';
 import type { MembersTable } from './members-table.js';
 import type { PeerPicker } from './peer-picker.js';
@@ -16,8 +17,15 @@
 const firstSyncMs = 3000;
 /** Shortest time between two exchanges that unknown members cause. */
 const hastenedSyncMs = 3000;
-/** A node that learned of so few members after a join tries the seeds again with the next sync. */
-const loneFleetSize = 1;
+/** Seeds that are greeted at a time, so that one that is gone costs no retry. */
+const greetedSeeds = 3;
+/** Time for a greeted seed to answer with its row, which names its link port. */
+const greetAnswerMs = 300;
+/** Peers that a joining node shares its pull between. */
+const pulledPeers = 3;
+
+/** Where a seed listens for gossip. */
+export type SeedAddress = Pick<Seed, 'address' | 'gossipPort'>;
 
 /**
  * Joins through seeds with jitter and retries, then keeps the rows in step with random peers.
@@ -28,7 +36,7 @@
 export class Joiner implements System {
   readonly name = 'joiner';
 
-  #seeds: readonly MemberAnnouncement[] = [];
+  #seeds: readonly SeedAddress[] = [];
 
   #isJoined = false;
 
@@ -55,7 +63,7 @@
   ) {}
 
   /** Resolves once the rows of one peer are in; at once where no other seed exists. */
-  join(seeds: readonly MemberAnnouncement[]): Promise<void> {
+  join(seeds: readonly SeedAddress[]): Promise<void> {
     const { self } = this.members;
     this.#seeds = seeds.filter(
       (seed) => seed.address !== self.address || seed.gossipPort !== self.gossipPort,
@@ -110,15 +118,22 @@
   }
 
   async #pull(): Promise<void> {
-    const isAlone = this.members.fleetSize() <= loneFleetSize;
-    if (this.#isJoined && !isAlone) {
-      await this.sync.pullFrom(this.picker.pick(1, false));
-      return;
+    const isAlone = this.members.fleetSize() <= 1;
+    if (isAlone) await this.#greetSeeds();
+    const peers = this.picker.pick(this.#isJoined ? 1 : pulledPeers, false);
+    if (peers.length === 0 && this.#seeds.length > 0) throw failure('No seed answered');
+    await this.sync.pullFrom(peers);
+  }
+
+  async #greetSeeds(): Promise<void> {
+    const start = this.random.below(this.#seeds.length);
+    for (let offset = 0; offset < Math.min(greetedSeeds, this.#seeds.length); offset++) {
+      const seed = this.#seeds[(start + offset) % this.#seeds.length];
+      if (seed) this.prober.greet(seed);
     }
-    const seed = this.#seeds[this.random.below(this.#seeds.length)];
-    if (!seed) return;
-    this.prober.greet(seed);
-    await this.sync.pullFrom([seed, ...this.picker.pick(3, true)]);
+    await new Promise((resolve) => {
+      setTimeout(resolve, greetAnswerMs);
+    });
   }
 
   #onPulled(): void {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -14,7 +14,7 @@
 import type { DatagramPort } from './datagram-port.js';
 import { TreeFleetQuery } from './fleet-query.js';
 import { Gossip } from './gossip.js';
-import { Joiner } from './joiner.js';
+import { Joiner, type SeedAddress } from './joiner.js';
 import { MembersTable } from './members-table.js';
 import { GossipMessenger } from './messenger.js';
 import { PeerPicker } from './peer-picker.js';
@@ -56,8 +56,8 @@
   /** Binds the socket; rejects with `MembershipError` if the address is in use. */
   start(): Promise<void>;
   stop(): void;
-  /** Resolves once the rows of one seed are in; retries with jitter until then. */
-  join(seeds: readonly MemberAnnouncement[]): Promise<void>;
+  /** Resolves once a seed answered and the rows of a peer are in; retries with jitter until then. */
+  join(seeds: readonly SeedAddress[]): Promise<void>;
   announceDraining(): void;
   announceLeft(): void;
   /** Tells the witnesses of this node which configuration version it has in force. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -4,3 +4,4 @@
 export * from './decisions.js';
 export * from './enums.js';
 export * from './members.js';
+export * from './records.js';
