--- /dev/null
+++ b/packages/distribution/src/sources.ts
@@ -0,0 +1,52 @@
+import type {
+  HeadRecord,
+  Manifest,
+  MeshSection,
+  SeedRecord,
+  ServiceSection,
+  Snapshot,
+} from '@sequoiafield/types';
+
+/** A seeds record with the revision that a compare-and-swap write names. */
+export interface StoredSeeds {
+  readonly record: SeedRecord;
+  readonly revision: number;
+}
+
+/**
+ * What distribution reads and writes in the platform's store; each call may reject.
+ * `ConfigRepository` of the package `store` fits.
+ */
+export interface HeadSource {
+  /** Undefined before the first configuration was accepted. */
+  readHead(): Promise<{ readonly record: HeadRecord } | undefined>;
+  readManifest(digest: string): Promise<Manifest>;
+  /** Body of a section as it was written. */
+  readSection(name: string, digest: string): Promise<{ readonly body: string }>;
+  readSeeds(dataCentre: string): Promise<StoredSeeds | undefined>;
+  /** `readRevision` undefined creates the record; false if another write came first. */
+  writeSeeds(record: SeedRecord, readRevision: number | undefined): Promise<boolean>;
+}
+
+/** A checked section. */
+export type ParsedSection =
+  | { readonly kind: 'mesh'; readonly mesh: MeshSection }
+  | { readonly kind: 'service'; readonly section: ServiceSection };
+
+/** Digests and checks of configuration bodies; the functions of the package `config` fit. */
+export interface SectionChecker {
+  /** SHA-256 (hex) of a text. */
+  digestOf(text: string): string;
+  /** Text of a manifest that the head's digest was computed over. */
+  toCanonicalJson(manifest: Manifest): string;
+  /** Parses a section and checks its schema; throws if it is wrong. */
+  parseSection(name: string, body: string): ParsedSection;
+  /** Dangling references in words, empty if there are none. */
+  checkReferences(
+    snapshot: Pick<Snapshot, 'mesh' | 'services'>,
+    manifest: Manifest,
+  ): readonly string[];
+}
+
+/** Name of the section with data centres and the route index. */
+export const meshSectionName = 'mesh';
