Add shares, evidence exchange, sequential test and verdicts of moves

Cause: a new backend version must get little traffic until calls prove it, and must be taken back when it is worse than the old one. Change: createRollout with the pure share, evidence rows merged by maximum and exchanged with three judging nodes each second, two-sample E-processes with a fixed-share mixture, limit tests, a stage gate, sticky verdict registers, an outage check and the verdict writer. Fakes of gossip, messages and traffic for tests and benchmarks.

--- /dev/null
+++ b/packages/rollout/src/betting-mixture.ts
@@ -0,0 +1,55 @@
+/** Alternatives for the new version's rate that the mixture bets on. */
+export const alternativeRates = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 0.95] as const;
+
+/** Blocks after which half of the reserve has been put into bets; chosen for moves of 10 min. */
+const reserveBlocks = 100;
+
+const logSum = (values: readonly number[]): number => {
+  const top = Math.max(...values);
+  if (top === -Infinity) return -Infinity;
+  return top + Math.log(values.reduce((sum, value) => sum + Math.exp(value - top), 0));
+};
+
+/**
+ * Mixture of bets, one per alternative rate, with a reserve that is not bet. Its wealth is an
+ * E-process: it starts at 1, and under the null hypothesis it exceeds x with a probability of at
+ * most 1/x at any time. After each block a part of the reserve goes into the bets, so that a defect
+ * that starts late is not hidden by the good calls before it (fixed-share mixture of Herbster and
+ * Warmuth; still an E-process, since the parts are fixed before the block).
+ *
+ * @example
+ * const mixture = new BettingMixture();
+ * mixture.bet((rate) => blockLogFactor(rate));
+ * if (mixture.logWealth > Math.log(1 / alpha)) reject();
+ */
+export class BettingMixture {
+  #logReserve = Math.log(0.5);
+
+  #logBets = alternativeRates.map(() => Math.log(0.5 / alternativeRates.length));
+
+  #blocks = 0;
+
+  /** Natural logarithm of the wealth. */
+  get logWealth(): number {
+    return logSum([this.#logReserve, ...this.#logBets]);
+  }
+
+  /** `logFactorOf` gives the logarithm of the E-variable of one block for an alternative. */
+  bet(logFactorOf: (alternativeRate: number) => number): void {
+    this.#logBets = this.#logBets.map(
+      (logBet, index) => logBet + logFactorOf(alternativeRates[index] ?? 0),
+    );
+    const part = 1 / (this.#blocks + reserveBlocks);
+    const logRefill = this.#logReserve + Math.log(part / alternativeRates.length);
+    this.#logBets = this.#logBets.map((logBet) => logSum([logBet, logRefill]));
+    this.#logReserve += Math.log(1 - part);
+    this.#blocks += 1;
+  }
+
+  /** Starts again at a wealth of 1. */
+  reset(): void {
+    this.#logReserve = Math.log(0.5);
+    this.#logBets = alternativeRates.map(() => Math.log(0.5 / alternativeRates.length));
+    this.#blocks = 0;
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/evidence-blocks.ts
@@ -0,0 +1,125 @@
+import type { EvidenceTable } from './evidence-table.js';
+import {
+  EvidenceSource,
+  VersionSide,
+  evidenceRowId,
+  latencyBucketCount,
+  type EvidenceRow,
+} from './evidence-row.js';
+
+/** Counts of one version that came in since the block before. */
+export interface SideCounts {
+  calls: number;
+  failures: number;
+  /** Successful calls over the service's latency limit. */
+  overLimit: number;
+  readonly buckets: number[];
+}
+
+/** Counts of both versions over the same period. */
+export interface SidePair {
+  readonly old: SideCounts;
+  readonly next: SideCounts;
+}
+
+/** What came in for one route. */
+export interface RouteBlock {
+  /** Ended calls by the data centre of the reporting node. */
+  readonly dataCentres: Map<string, SidePair>;
+  /** Attempts that callers saw unanswered, from all data centres together. */
+  readonly unanswered: SidePair;
+  /** New-version counts of each reporter beside a backend server since the move began. */
+  readonly reporters: Map<string, SideCounts>;
+}
+
+const emptyCounts = (): SideCounts => ({
+  calls: 0,
+  failures: 0,
+  overLimit: 0,
+  buckets: new Array<number>(latencyBucketCount).fill(0),
+});
+
+const emptyPair = (): SidePair => ({ old: emptyCounts(), next: emptyCounts() });
+
+const valueOf = <Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value => {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const created = create();
+  map.set(key, created);
+  return created;
+};
+
+const addDifference = (sum: SideCounts, row: SideCounts, before: SideCounts | undefined): void => {
+  const target = sum;
+  target.calls += row.calls - (before?.calls ?? 0);
+  target.failures += row.failures - (before?.failures ?? 0);
+  target.overLimit += row.overLimit - (before?.overLimit ?? 0);
+  row.buckets.forEach((count, index) => {
+    target.buckets[index] = (target.buckets[index] ?? 0) + count - (before?.buckets[index] ?? 0);
+  });
+};
+
+/** Which rows a reader counts; rows that it does not count are skipped for good. */
+export interface BlockFilter {
+  isDataCentreCounted(dataCentre: string): boolean;
+  isUnansweredCounted(): boolean;
+}
+
+/**
+ * Turns the cumulative rows of a move into differences since the last read, per route and data
+ * centre.
+ *
+ * @example
+ * const blocks = reader.read(move.evidence, filter);
+ */
+export class BlockReader {
+  readonly #before = new Map<string, SideCounts>();
+
+  read(evidence: EvidenceTable, filter: BlockFilter): Map<string, RouteBlock> {
+    const blocks = new Map<string, RouteBlock>();
+    for (const row of evidence.rows()) {
+      const block = valueOf(blocks, row.route, () => ({
+        dataCentres: new Map<string, SidePair>(),
+        unanswered: emptyPair(),
+        reporters: new Map<string, SideCounts>(),
+      }));
+      this.#add(block, row, filter);
+    }
+    return blocks;
+  }
+
+  #add(block: RouteBlock, row: EvidenceRow, filter: BlockFilter): void {
+    const id = evidenceRowId(row);
+    const before = this.#before.get(id);
+    const isEnded = row.source === EvidenceSource.Ended;
+    if (isEnded && row.side === VersionSide.New) {
+      addDifference(valueOf(block.reporters, row.reporterId, emptyCounts), row, undefined);
+    }
+    if (before && before.calls === row.calls && before.overLimit === row.overLimit) return;
+    const { calls, failures, overLimit } = row;
+    this.#before.set(id, { calls, failures, overLimit, buckets: [...row.buckets] });
+    const isCounted = isEnded
+      ? filter.isDataCentreCounted(row.dataCentre)
+      : filter.isUnansweredCounted();
+    if (!isCounted) return;
+    const pair = isEnded ? valueOf(block.dataCentres, row.dataCentre, emptyPair) : block.unanswered;
+    addDifference(row.side === VersionSide.New ? pair.next : pair.old, row, before);
+  }
+}
+
+/**
+ * Adds `counts` to `sum` in place.
+ *
+ * @example
+ * addCounts(total, block.unanswered.old);
+ */
+export const addCounts = (sum: SideCounts, counts: SideCounts): void =>
+  addDifference(sum, counts, undefined);
+
+/**
+ * Counts at 0.
+ *
+ * @example
+ * const total = newCounts();
+ */
+export const newCounts = emptyCounts;
--- /dev/null
+++ b/packages/rollout/src/evidence-message.ts
@@ -0,0 +1,124 @@
+import { latencyBucketCount, type EvidenceRow } from './evidence-row.js';
+
+/** Row on the wire; `buckets` lists index and count of the buckets that are not empty. */
+type WireRow = readonly [
+  route: string,
+  side: number,
+  source: number,
+  stage: number,
+  calls: number,
+  failures: number,
+  overLimit: number,
+  buckets: readonly number[],
+];
+
+/** Rows of one reporter on the wire. */
+type WireGroup = readonly [
+  reporterId: string,
+  incarnation: number,
+  dataCentre: string,
+  rows: readonly WireRow[],
+];
+
+/** Datagram with evidence of one move. */
+export interface EvidenceMessage {
+  readonly move: string;
+  readonly to: string;
+  readonly groups: readonly WireGroup[];
+}
+
+const isCount = (value: unknown): value is number =>
+  typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+
+const encodeBuckets = (buckets: readonly number[]): number[] =>
+  buckets.flatMap((count, index) => (count > 0 ? [index, count] : []));
+
+const encodeRow = (row: EvidenceRow): WireRow => [
+  row.route,
+  row.side,
+  row.source,
+  row.stage,
+  row.calls,
+  row.failures,
+  row.overLimit,
+  encodeBuckets(row.buckets),
+];
+
+/**
+ * Packs rows in the given order until the byte budget is spent. Sizes are those of JSON, an upper
+ * bound of what `msgpackr` writes.
+ *
+ * @example
+ * const message = encodeEvidence('settlement-v2', 'v2', rows, 1100);
+ */
+export const encodeEvidence = (
+  moveId: string,
+  toVersion: string,
+  rows: readonly EvidenceRow[],
+  budgetBytes: number,
+): EvidenceMessage => {
+  const groups = new Map<string, [string, number, string, WireRow[]]>();
+  let usedBytes = moveId.length + toVersion.length + 32;
+  for (const row of rows) {
+    const wire = encodeRow(row);
+    const groupId = `${row.reporterId}\n${row.incarnation}`;
+    const group = groups.get(groupId);
+    const groupBytes = group ? 0 : row.reporterId.length + row.dataCentre.length + 24;
+    const bytes = JSON.stringify(wire).length + 1 + groupBytes;
+    if (usedBytes + bytes > budgetBytes) break;
+    usedBytes += bytes;
+    if (group) group[3].push(wire);
+    else groups.set(groupId, [row.reporterId, row.incarnation, row.dataCentre, [wire]]);
+  }
+  return { move: moveId, to: toVersion, groups: [...groups.values()] };
+};
+
+const decodeRow = (group: WireGroup, wire: WireRow): EvidenceRow | undefined => {
+  if (!Array.isArray(wire) || typeof wire[0] !== 'string' || !Array.isArray(wire[7])) {
+    return undefined;
+  }
+  if (![wire[1], wire[2], wire[3], wire[4], wire[5], wire[6]].every(isCount)) return undefined;
+  const buckets = new Array<number>(latencyBucketCount).fill(0);
+  for (let at = 0; at + 1 < wire[7].length; at += 2) {
+    const index = wire[7][at];
+    const count = wire[7][at + 1];
+    if (!isCount(index) || !isCount(count) || index >= latencyBucketCount) return undefined;
+    buckets[index] = count;
+  }
+  const [route, side, source, stage, calls, failures, overLimit] = wire;
+  if (side > 1 || source > 1 || failures > calls) return undefined;
+  const [reporterId, incarnation, dataCentre] = group;
+  return {
+    ...{ reporterId, incarnation, dataCentre, route, side, source, stage },
+    ...{ calls, failures, overLimit, buckets, changedAtMs: 0 },
+  };
+};
+
+const isGroup = (group: unknown): group is WireGroup =>
+  Array.isArray(group) &&
+  typeof group[0] === 'string' &&
+  isCount(group[1]) &&
+  typeof group[2] === 'string' &&
+  Array.isArray(group[3]);
+
+/**
+ * Rows of a received message; malformed rows are left out, and anything else than a message gives
+ * undefined.
+ *
+ * @example
+ * const decoded = decodeEvidence(body);
+ */
+export const decodeEvidence = (
+  body: unknown,
+): { moveId: string; toVersion: string; rows: EvidenceRow[] } | undefined => {
+  if (typeof body !== 'object' || body === null) return undefined;
+  const { move, to, groups } = body as Partial<EvidenceMessage>;
+  if (typeof move !== 'string' || typeof to !== 'string' || !Array.isArray(groups)) {
+    return undefined;
+  }
+  const rows = groups
+    .filter(isGroup)
+    .flatMap((group) => group[3].map((wire) => decodeRow(group, wire)))
+    .filter((row) => row !== undefined);
+  return { moveId: move, toVersion: to, rows };
+};
--- /dev/null
+++ b/packages/rollout/src/evidence-row.ts
@@ -0,0 +1,79 @@
+/** Which version of a move a count belongs to. */
+export enum VersionSide {
+  Old = 0,
+  New = 1,
+}
+
+/** Where a count was taken. */
+export enum EvidenceSource {
+  /** By the node beside the backend server, when a call ended. */
+  Ended = 0,
+  /** By the calling node, when an attempt got no answer in time. */
+  Unanswered = 1,
+}
+
+/** Number of latency buckets; bucket i holds latencies up to 2^(i/2) ms, the last all others. */
+export const latencyBucketCount = 32;
+
+/**
+ * Index of the latency bucket: about 41 % wide each, 1 ms to 46 s.
+ *
+ * @example
+ * latencyBucket(4); // 4: up to 2^(4/2) ms
+ */
+export const latencyBucket = (latencyMs: number): number =>
+  latencyMs <= 1 ? 0 : Math.min(latencyBucketCount - 1, Math.ceil(2 * Math.log2(latencyMs)));
+
+/** What identifies a row; its counters only grow. */
+export interface EvidenceKey {
+  readonly reporterId: string;
+  readonly incarnation: number;
+  readonly dataCentre: string;
+  readonly route: string;
+  readonly side: VersionSide;
+  readonly source: EvidenceSource;
+  /** Stage that the reporter knew when the calls ended; 0 for the old version. */
+  readonly stage: number;
+}
+
+/** Cumulative counters of one reporter; merged by maximum. */
+export interface EvidenceRow extends EvidenceKey {
+  calls: number;
+  failures: number;
+  /** Calls that succeeded after more than the service's latency limit. */
+  overLimit: number;
+  /** Successful calls by latency. */
+  readonly buckets: number[];
+  /** Monotonic time of the last change on this node. */
+  changedAtMs: number;
+}
+
+/**
+ * Id of a row within its move.
+ *
+ * @example
+ * table.get(evidenceRowId(row));
+ */
+export const evidenceRowId = (key: EvidenceKey): string =>
+  `${key.reporterId}\n${key.incarnation}\n${key.route}\n${key.side}\n${key.source}\n${key.stage}`;
+
+/**
+ * Row with all counters at 0.
+ *
+ * @example
+ * const row = emptyEvidenceRow(key);
+ */
+export const emptyEvidenceRow = (key: EvidenceKey): EvidenceRow => ({
+  reporterId: key.reporterId,
+  incarnation: key.incarnation,
+  dataCentre: key.dataCentre,
+  route: key.route,
+  side: key.side,
+  source: key.source,
+  stage: key.stage,
+  calls: 0,
+  failures: 0,
+  overLimit: 0,
+  buckets: new Array<number>(latencyBucketCount).fill(0),
+  changedAtMs: 0,
+});
--- /dev/null
+++ b/packages/rollout/src/fakes/fake-mesh.ts
@@ -0,0 +1,188 @@
+import { SeededRandom, setMonotonicSource, type RandomSource } from '@sequoiafield/tables';
+import {
+  MemberState,
+  tickIntervalMs,
+  type MemberRow,
+  type RegisterEntry,
+  type Snapshot,
+} from '@sequoiafield/types';
+import { FakeNode, type FakeNodeOptions } from './fake-node.js';
+
+/** Decides what happens to one message: a delay for each copy that arrives, none if it is lost. */
+export type FakeNetwork = (from: FakeNode, to: FakeNode, random: RandomSource) => readonly number[];
+
+interface Delivery {
+  readonly atMs: number;
+  readonly toId: string;
+  readonly run: (node: FakeNode) => void;
+}
+
+/** Time after which members that cannot be reached are called dead. */
+const deadAfterMs = 4000;
+/** Delay of a message without faults. */
+const usualDelayMs = 5;
+
+/**
+ * Rollouts of a few nodes in one process on a clock that only `advance` moves, over fakes of gossip
+ * and messages. For tests and benchmarks of this package.
+ *
+ * @example
+ * const mesh = new FakeMesh(1, Date.UTC(2026, 0, 1));
+ * mesh.add({ id: 'a', dataCentre: 'dc-1', service: 'settlement', backendVersion: 'v1' });
+ * mesh.snapshot = snapshot;
+ * mesh.advance(1000);
+ * mesh.close();
+ */
+export class FakeMesh {
+  nowMs = 0;
+
+  snapshot: Snapshot | undefined;
+
+  network: FakeNetwork = () => [usualDelayMs];
+
+  /** Bytes sent as JSON, by node. */
+  readonly sentBytes = new Map<string, number>();
+
+  readonly random: RandomSource;
+
+  readonly #nodes = new Map<string, FakeNode>();
+
+  readonly #cutSinceMs = new Map<string, number>();
+
+  #deliveries: Delivery[] = [];
+
+  #rowsRevision = 0;
+
+  readonly #rowsCache = new Map<string, { revision: number; rows: MemberRow[] }>();
+
+  constructor(
+    readonly seed: number,
+    readonly startUnixMs: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    setMonotonicSource({ nowMs: () => this.nowMs });
+  }
+
+  get nowUnixMs(): number {
+    return this.startUnixMs + this.nowMs;
+  }
+
+  nodes(): readonly FakeNode[] {
+    return [...this.#nodes.values()];
+  }
+
+  node(id: string): FakeNode {
+    const node = this.#nodes.get(id);
+    if (!node) throw new RangeError(`Node "${id}" is not in the fake mesh`);
+    return node;
+  }
+
+  /** Starts a node, or a new incarnation of the node with the same id. */
+  add(options: FakeNodeOptions): FakeNode {
+    this.#rowsRevision += 1;
+    const node = new FakeNode(options, this.startUnixMs + this.nowMs, this);
+    this.#nodes.set(options.id, node);
+    return node;
+  }
+
+  restart(id: string): FakeNode {
+    return this.add(this.node(id).options);
+  }
+
+  /** Cuts a data centre off from all others, or connects it again. */
+  setCut(dataCentre: string, isCut: boolean): void {
+    this.#rowsRevision += 1;
+    if (isCut) this.#cutSinceMs.set(dataCentre, this.nowMs);
+    else this.#cutSinceMs.delete(dataCentre);
+  }
+
+  /** Members as one node sees them; those behind a cut are suspect at first and dead later. */
+  membersSeenBy(viewer: FakeNode): MemberRow[] {
+    const cached = this.#rowsCache.get(viewer.id);
+    if (cached?.revision === this.#rowsRevision) return cached.rows;
+    const rows = this.nodes()
+      .map((node) => this.#rowOf(node, viewer))
+      .sort((left, right) => (left.id < right.id ? -1 : 1));
+    this.#rowsCache.set(viewer.id, { revision: this.#rowsRevision, rows });
+    return rows;
+  }
+
+  pushRegister(fromId: string, entry: RegisterEntry): void {
+    this.#nodes.forEach((node) => {
+      if (node.id === fromId) return;
+      this.deliver(fromId, node.id, 0, (receiver) => receiver.accept(entry, fromId));
+    });
+  }
+
+  deliver(fromId: string, toId: string, bytes: number, run: (node: FakeNode) => void): void {
+    this.sentBytes.set(fromId, (this.sentBytes.get(fromId) ?? 0) + bytes);
+    const from = this.#nodes.get(fromId);
+    const to = this.#nodes.get(toId);
+    if (!from || !to || this.#isCut(from, to)) return;
+    this.network(from, to, this.random).forEach((delayMs) =>
+      this.#deliveries.push({ atMs: this.nowMs + delayMs, toId, run }),
+    );
+  }
+
+  /** Moves the clock in ticks of 100 ms; `beforeTick` adds traffic. */
+  advance(durationMs: number, beforeTick: () => void = () => undefined): void {
+    for (let doneMs = 0; doneMs < durationMs; doneMs += tickIntervalMs) {
+      this.nowMs += tickIntervalMs;
+      if (this.#cutSinceMs.size > 0) this.#rowsRevision += 1;
+      beforeTick();
+      this.#deliverDue();
+      this.nodes()
+        .filter((node) => !node.isPaused)
+        .forEach((node) => node.tick());
+      if (this.nowMs % 1000 === 0) this.#repairRegisters();
+    }
+  }
+
+  /** Gives the runtime its own clock back. */
+  close(): void {
+    setMonotonicSource();
+  }
+
+  #deliverDue(): void {
+    const due = this.#deliveries.filter(({ atMs }) => atMs <= this.nowMs);
+    this.#deliveries = this.#deliveries.filter(({ atMs }) => atMs > this.nowMs);
+    due
+      .sort((left, right) => left.atMs - right.atMs)
+      .forEach(({ toId, run }) => {
+        const node = this.#nodes.get(toId);
+        if (node && !node.isPaused) run(node);
+      });
+  }
+
+  /** Each node exchanges registers with one random other, as probes do. */
+  #repairRegisters(): void {
+    const nodes = this.nodes().filter((node) => !node.isPaused);
+    nodes.forEach((node) => {
+      const peer = nodes[this.random.below(nodes.length)];
+      if (!peer || peer === node || this.#isCut(node, peer)) return;
+      [...node.entries.values()].forEach((entry) => peer.accept(entry, node.id));
+      [...peer.entries.values()].forEach((entry) => node.accept(entry, peer.id));
+    });
+  }
+
+  #isCut(from: FakeNode, to: FakeNode): boolean {
+    const centres = [from.options.dataCentre, to.options.dataCentre];
+    return centres[0] !== centres[1] && centres.some((name) => this.#cutSinceMs.has(name));
+  }
+
+  #rowOf(node: FakeNode, viewer: FakeNode): MemberRow {
+    const isCut = this.#isCut(node, viewer);
+    const sinceMs = Math.max(
+      this.#cutSinceMs.get(node.options.dataCentre) ?? 0,
+      this.#cutSinceMs.get(viewer.options.dataCentre) ?? 0,
+    );
+    const isDead = this.nowMs - sinceMs >= deadAfterMs;
+    const cutState = isDead ? MemberState.Dead : MemberState.Suspect;
+    return {
+      ...node.announcement(),
+      state: isCut ? cutState : MemberState.Alive,
+      configVersion: this.snapshot?.configVersion ?? 0,
+      stateChangedAtMs: isDead ? sinceMs + deadAfterMs : sinceMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/fakes/fake-traffic.ts
@@ -0,0 +1,127 @@
+import type { RandomSource } from '@sequoiafield/tables';
+import { tickIntervalMs } from '@sequoiafield/types';
+import type { FakeMesh } from './fake-mesh.js';
+import type { FakeNode } from './fake-node.js';
+
+/** What a fake backend server knows of a call that it runs. */
+export interface FakeCall {
+  readonly service: string;
+  readonly route: string;
+  readonly backendVersion: string;
+  readonly dataCentre: string;
+  readonly nowMs: number;
+  /** Share of the new version that the caller saw. */
+  readonly sharePercent: number;
+  readonly random: RandomSource;
+}
+
+/** How a call ended. */
+export interface FakeOutcome {
+  readonly hasFailed: boolean;
+  readonly latencyMs: number;
+  /** The call got no answer: only the caller can count it. */
+  readonly isHung?: boolean;
+}
+
+/** Settings of the traffic of one service. */
+export interface FakeTrafficOptions {
+  readonly service: string;
+  readonly routes: readonly string[];
+  readonly callsPerSecond: number;
+  /** Version whose calls the ledger counts. */
+  readonly watchedVersion: string;
+  run(call: FakeCall): FakeOutcome;
+}
+
+/** One second of the ledger. */
+export interface LedgerSecond {
+  calls: number;
+  watchedCalls: number;
+  watchedBad: number;
+}
+
+/** Number of calls in a tick by Knuth's method, in pieces that keep the product representable. */
+const poisson = (mean: number, random: RandomSource): number => {
+  let count = 0;
+  for (let rest = mean; rest > 0; rest -= 20) {
+    const limit = Math.exp(-Math.min(20, rest));
+    for (let product = random.next(); product > limit; product *= random.next()) count += 1;
+  }
+  return count;
+};
+
+/**
+ * Poisson calls to one service of a fake mesh: callers choose the version, receivers check it, and a
+ * ledger counts what reached which version.
+ *
+ * @example
+ * const traffic = new FakeTraffic(mesh, options);
+ * mesh.advance(600_000, () => traffic.tick());
+ */
+export class FakeTraffic {
+  readonly seconds: LedgerSecond[] = [];
+
+  /** Time of the first bad call of the watched version; undefined before it. */
+  firstBadAtMs: number | undefined;
+
+  constructor(
+    private readonly mesh: FakeMesh,
+    private readonly options: FakeTrafficOptions,
+  ) {}
+
+  /** Runs the calls of one tick. */
+  tick(): void {
+    const { random } = this.mesh;
+    const nodes = this.mesh.nodes().filter((node) => !node.isPaused);
+    const calls = poisson((this.options.callsPerSecond * tickIntervalMs) / 1000, random);
+    for (let index = 0; index < calls; index += 1) {
+      const caller = nodes[random.below(nodes.length)];
+      if (caller) this.#call(caller, nodes);
+    }
+  }
+
+  #call(caller: FakeNode, nodes: readonly FakeNode[]): void {
+    const { service, routes } = this.options;
+    const { random, nowMs } = this.mesh;
+    const version = caller.view.chooseVersion(service, random.next());
+    const callee = version === undefined ? undefined : this.#choose(caller, nodes, version);
+    if (version === undefined || !callee?.view.isAllowed(service, version)) return;
+    const route = routes[random.below(routes.length)] ?? '';
+    const { dataCentre } = callee.options;
+    const { sharePercent } = caller.view.statuses()[0] ?? { sharePercent: 0 };
+    const outcome = this.options.run({
+      ...{ service, route, backendVersion: version, dataCentre, nowMs, sharePercent, random },
+    });
+    if (outcome.isHung) caller.recorder.recordUnanswered(service, route, version);
+    else callee.recorder.recordEnded({ service, route, backendVersion: version, ...outcome });
+    this.#count(version, outcome);
+  }
+
+  /** Two in three calls stay in the caller's data centre if the version is there. */
+  #choose(caller: FakeNode, nodes: readonly FakeNode[], version: string): FakeNode | undefined {
+    const { random } = this.mesh;
+    const able = nodes.filter(
+      ({ options }) =>
+        options.service === this.options.service && options.backendVersion === version,
+    );
+    const near = able.filter(({ options }) => options.dataCentre === caller.options.dataCentre);
+    const chosen = near.length > 0 && random.next() < 2 / 3 ? near : able;
+    return chosen[random.below(chosen.length)];
+  }
+
+  #count(version: string, outcome: FakeOutcome): void {
+    const second = Math.floor(this.mesh.nowMs / 1000);
+    while (this.seconds.length <= second) {
+      this.seconds.push({ calls: 0, watchedCalls: 0, watchedBad: 0 });
+    }
+    const ledger = this.seconds[second];
+    if (!ledger) return;
+    ledger.calls += 1;
+    if (version !== this.options.watchedVersion) return;
+    ledger.watchedCalls += 1;
+    const isBad = outcome.hasFailed || outcome.isHung === true;
+    if (!isBad) return;
+    ledger.watchedBad += 1;
+    this.firstBadAtMs ??= this.mesh.nowMs;
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/outage-check.ts
@@ -0,0 +1,92 @@
+import { DirectMessageKind, type DirectMessenger, type MemberView } from '@sequoiafield/types';
+import { monotonicNowMs, type RandomSource } from '@sequoiafield/tables';
+import { HealthState, type OwnHealth } from './own-health.js';
+import { isLive } from './rendezvous.js';
+
+/** Members of other services that are asked. */
+const askedCount = 12;
+/** Time that they have to answer. */
+const answerTimeoutMs = 1500;
+/** Answers needed before they can excuse a version. */
+const answersMin = 2;
+
+/** Result of a check. */
+export enum OutageResult {
+  Waiting = 0,
+  /** Other services are sick too. */
+  General = 1,
+  /** Other services are well, or none answered. */
+  Local = 2,
+}
+
+interface HealthQuestion {
+  readonly healthOf: string;
+}
+
+interface HealthAnswer {
+  readonly health: HealthState;
+  readonly healthOf: string;
+}
+
+/**
+ * Asks nodes beside other services' backend servers whether these fail more than usual. Used before
+ * a version is blamed without traffic of the old version to compare with.
+ *
+ * @example
+ * if (check.ask('settlement-v2', 'settlement', nowMs) === OutageResult.Local) takeBack();
+ */
+export class OutageCheck {
+  readonly #running = new Map<string, { startedAtMs: number; answers: Map<string, HealthState> }>();
+
+  constructor(
+    private readonly members: MemberView,
+    private readonly messenger: DirectMessenger,
+    private readonly random: RandomSource,
+    private readonly health: OwnHealth,
+  ) {
+    messenger.subscribe(DirectMessageKind.Evidence, (body, fromId) => this.#receive(body, fromId));
+  }
+
+  /** Starts a check or returns its result; a result is returned once. */
+  ask(moveId: string, service: string, nowMs: number): OutageResult {
+    const check = this.#running.get(moveId);
+    if (!check) {
+      this.#running.set(moveId, { startedAtMs: nowMs, answers: new Map() });
+      const question: HealthQuestion = { healthOf: moveId };
+      this.#choose(service).forEach((id) =>
+        this.messenger.send(id, DirectMessageKind.Evidence, question),
+      );
+      return OutageResult.Waiting;
+    }
+    if (nowMs - check.startedAtMs < answerTimeoutMs) return OutageResult.Waiting;
+    this.#running.delete(moveId);
+    const answers = [...check.answers.values()];
+    const sick = answers.filter((state) => state === HealthState.Sick).length;
+    const known = answers.filter((state) => state !== HealthState.Unknown).length;
+    return known >= answersMin && sick * 2 >= known ? OutageResult.General : OutageResult.Local;
+  }
+
+  #choose(service: string): string[] {
+    const others = [...this.members.all()].filter(
+      (member) => isLive(member) && member.service !== service,
+    );
+    const chosen: string[] = [];
+    while (chosen.length < askedCount && others.length > 0) {
+      const [member] = others.splice(this.random.below(others.length), 1);
+      if (member) chosen.push(member.id);
+    }
+    return chosen;
+  }
+
+  #receive(body: unknown, fromId: string): void {
+    if (typeof body !== 'object' || body === null) return;
+    const { healthOf, health } = body as Partial<HealthAnswer>;
+    if (typeof healthOf !== 'string') return;
+    if (health === undefined) {
+      const answer: HealthAnswer = { healthOf, health: this.health.state(monotonicNowMs()) };
+      this.messenger.send(fromId, DirectMessageKind.Evidence, answer);
+    } else {
+      this.#running.get(healthOf)?.answers.set(fromId, health);
+    }
+  }
+}
--- /dev/null
+++ b/packages/rollout/src/sequential-version-test.ts
@@ -0,0 +1,87 @@
+import type { ServiceIntent } from '@sequoiafield/types';
+import type { RouteBlock } from './evidence-blocks.js';
+import { RouteTests } from './route-tests.js';
+import { EvidenceKind, type Finding, type VersionTest } from './version-test.js';
+
+/** Probability of taking back a version that is no worse, per move. */
+export const alphaPerMove = 0.001;
+/** Two tests (compared, limited) of each kind of evidence on each route. */
+const testsPerRoute = 2 * Object.keys(EvidenceKind).length;
+
+const percent = (rate: number): string => `${(rate * 100).toFixed(2)} %`;
+
+/**
+ * Tests the new version of one move against the old one: two-sample E-processes per route and kind
+ * of evidence, and the service's absolute limits. `alphaPerMove` is split evenly over routes, kinds,
+ * both tests and the nodes that judge.
+ *
+ * @example
+ * const test = new SequentialVersionTest(service, routes.length, 3);
+ * test.observe(reader.read(move.evidence, filter));
+ * test.finding()?.reason;
+ */
+export class SequentialVersionTest implements VersionTest {
+  readonly #routes = new Map<string, RouteTests>();
+
+  readonly #logThreshold: number;
+
+  constructor(
+    private readonly service: ServiceIntent,
+    routeCount: number,
+    judgeCount: number,
+  ) {
+    const tests = Math.max(1, routeCount) * testsPerRoute * Math.max(1, judgeCount);
+    this.#logThreshold = Math.log(tests / alphaPerMove);
+  }
+
+  observe(blocks: ReadonlyMap<string, RouteBlock>): void {
+    blocks.forEach((block, route) => {
+      const tests = this.#routes.get(route) ?? new RouteTests(this.service);
+      this.#routes.set(route, tests);
+      tests.observe(block);
+    });
+  }
+
+  finding(): Finding | undefined {
+    for (const [route, tests] of this.#routes) {
+      for (const kind of Object.values(EvidenceKind)) {
+        const finding = this.#findingOf(route, tests, kind);
+        if (finding) return finding;
+      }
+    }
+    return undefined;
+  }
+
+  logSuspicion(): number {
+    const kinds = [...this.#routes.values()].flatMap((tests) => Object.values(tests.kinds));
+    const wealths = kinds.flatMap(({ compared, limited }) => [
+      compared.logWealth,
+      limited.logWealth,
+    ]);
+    return Math.max(0, ...wealths);
+  }
+
+  oldFailureRate(): number {
+    const histories = [...this.#routes.values()].map(({ oldHistory }) => oldHistory);
+    const calls = histories.reduce((sum, history) => sum + history.calls, 0);
+    const failures = histories.reduce((sum, history) => sum + history.failures, 0);
+    return calls > 0 ? failures / calls : 0;
+  }
+
+  forgetUncompared(): void {
+    this.#routes.forEach(({ kinds }) => {
+      Object.values(kinds).forEach(({ limited }) => limited.reset());
+    });
+  }
+
+  #findingOf(route: string, tests: RouteTests, kind: EvidenceKind): Finding | undefined {
+    const test = tests.kinds[kind];
+    const isWorse = test.compared.logWealth >= this.#logThreshold && test.excess >= test.material;
+    const isOverLimit = test.limited.logWealth >= this.#logThreshold;
+    if ((!isWorse && !isOverLimit) || !tests.isSeenByMany(kind)) return undefined;
+    const reason = isWorse
+      ? `${kind} on route ${route}: ${percent(test.excess)} more than the old version`
+      : `${kind} on route ${route}: more than ${percent(test.limitRate)}`;
+    return { route, kind, reason, needsOutageCheck: !isWorse && !test.hasRecentOld };
+  }
+}
