Run the whole path as separate processes

Cause: until now the parts had no process that joined them. Change: NodeProcess and the `node` command join membership, distribution, rollout, routing, admission, links and the call path; a node that knows no peer, or none of a configured data centre, reads seeds from the store; ports can be announced under a mapping. Before the first seeds check came within 2 s, a node of another data centre was still alone 4 s after the accept (members 1 of 3); after it all three know each other. Ruled out: the gossip itself; greeting by seeds worked once the record was there.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,10 +1,13 @@
+import type { CommandModule } from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { addOperatorCommands } from './commands/index.js';
+import { nodeCommand } from './commands/node.js';
 import { ProcessContext } from './process-context.js';
 import { CommandLine } from './run-cli.js';
 
-// Commands that run as a process, such as `node`, are added here with `addPlain`.
-const commandLine = addOperatorCommands(new CommandLine(new ProcessContext()));
+const commandLine = addOperatorCommands(new CommandLine(new ProcessContext())).addPlain(
+  nodeCommand as CommandModule,
+);
 
 commandLine.run(hideBin(process.argv)).then((status) => {
   process.exitCode = status;
--- a/packages/config/src/body-schemas.ts
+++ b/packages/config/src/body-schemas.ts
@@ -90,6 +90,7 @@
 /** Form of a verdict record. */
 export const verdictSchema = z.strictObject({
   moveId: name,
+  service: name,
   verdict: z.enum(MoveVerdict),
   reason: z.string().max(1000),
   decidedAtUnixMs: unixMs,
--- a/packages/config/src/node-settings.ts
+++ b/packages/config/src/node-settings.ts
@@ -20,6 +20,9 @@
     readonly gossipPort: number;
     readonly linkPort: number;
     readonly callPort: number;
+    /** Ports under which peers reach this node, where a mapping is in between; 0: the same. */
+    readonly advertisedGossipPort: number;
+    readonly advertisedLinkPort: number;
     readonly adminAddress: string;
     readonly adminPort: number;
     /** Empty: no token is asked for, which is allowed on loopback only. */
@@ -48,6 +51,8 @@
   gossipPort: values.gossip_port,
   linkPort: values.link_port,
   callPort: values.call_port,
+  advertisedGossipPort: values.advertised_gossip_port,
+  advertisedLinkPort: values.advertised_link_port,
   adminAddress: values.admin_address,
   adminPort: values.admin_port,
   adminToken: values.admin_token,
--- a/packages/config/src/settings-schema.ts
+++ b/packages/config/src/settings-schema.ts
@@ -16,6 +16,8 @@
     gossip_port: port(0),
     link_port: port(0),
     call_port: port(0),
+    advertised_gossip_port: port(0).default(0),
+    advertised_link_port: port(0).default(0),
     admin_address: ipAddress().default('127.0.0.1'),
     admin_port: port(0),
     admin_token: iniValue('a token of 0 to 200 visible ASCII characters', (text) =>
--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -5,6 +5,7 @@
   MemberAnnouncement,
   MemberView,
   RegisterGossip,
+  Seed,
   Snapshot,
   SnapshotView,
 } from '@sequoiafield/types';
@@ -41,6 +42,8 @@
   readonly seeds: () => readonly FloorSeed[];
   /** Called after each swap, for example with `Membership.announceConfigVersion`. */
   readonly onInForce?: (snapshot: Snapshot) => void;
+  /** Called with the seeds of the own data centre whenever they are read. */
+  readonly onSeedsRead?: (seeds: readonly Seed[]) => void;
   readonly guard?: SnapshotGuard;
 }
 
@@ -127,7 +130,12 @@
   };
   return {
     view,
-    systems: [freshness, poller, floor, new SeedsKeeper(headSource, members, random)],
+    systems: [
+      freshness,
+      poller,
+      floor,
+      new SeedsKeeper(headSource, members, random, options.onSeedsRead),
+    ],
     counters: fetcher.counters,
     start: () => poller.start(),
     stop: () => {
--- a/packages/distribution/src/seeds-keeper.ts
+++ b/packages/distribution/src/seeds-keeper.ts
@@ -16,6 +16,8 @@
 const staleRecordMs = 10 * 60_000;
 /** Checks of all nodes of a data centre together come at this mean interval. */
 const checkIntervalMs = 5000;
+/** Spreads the first checks of a mass restart. */
+const firstCheckJitterMs = 2000;
 const storeTimeoutMs = 3000;
 
 /**
@@ -35,10 +37,12 @@
     private readonly source: HeadSource,
     private readonly members: MemberView,
     private readonly random: RandomSource,
+    private readonly onSeedsRead: (seeds: readonly Seed[]) => void = () => undefined,
   ) {}
 
   run(tick: Tick): void {
-    this.#nextAtMs ??= tick.nowMs + this.#delayMs();
+    // The first nodes of a data centre must become findable soon.
+    this.#nextAtMs ??= tick.nowMs + this.random.next() * firstCheckJitterMs;
     if (this.#isBusy || tick.nowMs < this.#nextAtMs) return;
     this.#isBusy = true;
     this.#check()
@@ -68,6 +72,7 @@
     if (alive.length === 0) return;
     const read = this.source.readSeeds(dataCentre);
     const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
+    if (stored) this.onSeedsRead(stored.record.seeds);
     if (stored && !this.#isStale(stored.record, alive)) return;
     const seeds = this.#choose(alive);
     const record = { dataCentre, refreshedAtUnixMs: wallNowUnixMs(), seeds };
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -58,6 +58,8 @@
   stop(): void;
   /** Resolves once a seed answered and the rows of a peer are in; retries with jitter until then. */
   join(seeds: readonly SeedAddress[]): Promise<void>;
+  /** Makes itself known to addresses whose nodes this node does not know yet. */
+  greet(seeds: readonly SeedAddress[]): void;
   announceDraining(): void;
   announceLeft(): void;
   /** Tells the witnesses of this node which configuration version it has in force. */
@@ -142,6 +144,10 @@
     },
     stop: () => port.close(),
     join: (seeds) => joins.join(seeds),
+    greet: (seeds) => {
+      seeds.forEach((seed) => prober.greet(seed));
+      joins.hasten();
+    },
     announceDraining: () => announce(MemberState.Draining),
     announceLeft: () => announce(MemberState.Left),
     announceConfigVersion: () => {
--- /dev/null
+++ b/packages/node/src/burn-recorder.ts
@@ -0,0 +1,20 @@
+import type { Burn } from '@sequoiafield/burn';
+import type { CallEvidence, EvidenceRecorder } from '@sequoiafield/types';
+
+/** Passes outcomes of calls to the rollout and counts them for the service-level objectives. */
+export class BurnRecorder implements EvidenceRecorder {
+  constructor(
+    private readonly rollout: EvidenceRecorder,
+    private readonly burn: Pick<Burn, 'record'>,
+  ) {}
+
+  recordEnded(evidence: CallEvidence): void {
+    this.rollout.recordEnded(evidence);
+    this.burn.record(evidence.service, evidence.hasFailed, evidence.latencyMs);
+  }
+
+  recordUnanswered(service: string, route: string, backendVersion: string): void {
+    this.rollout.recordUnanswered(service, route, backendVersion);
+    this.burn.record(service, true, Number.POSITIVE_INFINITY);
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { NodeProcess, type NodePorts } from './node-process.js';
+export type { InForceAnswer } from './admin-interface.js';
--- /dev/null
+++ b/packages/node/src/node-metrics.ts
@@ -0,0 +1,50 @@
+import { MemberState } from '@sequoiafield/types';
+import type { MetricSource } from './metrics.js';
+import type { NodeParts } from './node-parts.js';
+
+const prefix = 'sequoiafield_';
+
+const countersOf = (part: string, counters: object): readonly MetricSource[] =>
+  Object.keys(counters).map((key) => ({
+    name: `${prefix}${part}_${key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`,
+    help: `${key} of the ${part} since the start of the process`,
+    read: () => (counters as Record<string, number>)[key] ?? 0,
+  }));
+
+const countMembers = (parts: NodeParts, state: MemberState): number =>
+  [...parts.membership.view.all()].filter((member) => member.state === state).length;
+
+/**
+ * Metrics of a node: state in force, members by state and every counter of its parts.
+ *
+ * @example
+ * const registry = createMetrics(nodeMetricSources(parts));
+ */
+export const nodeMetricSources = (parts: NodeParts): readonly MetricSource[] => [
+  {
+    name: `${prefix}config_version`,
+    help: 'Configuration version in force',
+    read: () => parts.distribution.configVersion(),
+  },
+  {
+    name: `${prefix}is_serving`,
+    help: '1 if the node takes calls',
+    read: () => Number(parts.distribution.view.isServing()),
+  },
+  {
+    name: `${prefix}head_reads`,
+    help: 'Reads of the head record in the store',
+    read: () => parts.distribution.headReads(),
+  },
+  ...[MemberState.Alive, MemberState.Suspect, MemberState.Draining, MemberState.Dead].map(
+    (state) => ({
+      name: `${prefix}members_${MemberState[state].toLowerCase()}`,
+      help: `Members believed to be ${MemberState[state].toLowerCase()}`,
+      read: () => countMembers(parts, state),
+    }),
+  ),
+  ...countersOf('calls', parts.calls.counters),
+  ...countersOf('transport', parts.transport.counters),
+  ...countersOf('membership', parts.membership.counters),
+  ...countersOf('distribution', parts.distribution.counters),
+];
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -1,6 +1,11 @@
 import { createAdmission } from '@sequoiafield/admission';
-import { createBurn, mergeBurn } from '@sequoiafield/burn';
-import { BackendCallReceiver, createCallPath, UndiciBackendClient } from '@sequoiafield/calls';
+import { createBurn, mergeBurn, type Burn } from '@sequoiafield/burn';
+import {
+  BackendCallReceiver,
+  createCallPath,
+  UndiciBackendClient,
+  type CallPath,
+} from '@sequoiafield/calls';
 import {
   checkReferences,
   digestOf,
@@ -8,17 +13,17 @@
   toCanonicalJson,
   type NodeSettings,
 } from '@sequoiafield/config';
-import { createDistribution } from '@sequoiafield/distribution';
+import { createDistribution, type Distribution } from '@sequoiafield/distribution';
 import type { Logger } from '@sequoiafield/logger';
-import { createMembership } from '@sequoiafield/membership';
-import { createRollout } from '@sequoiafield/rollout';
+import { createMembership, type Membership } from '@sequoiafield/membership';
+import { createRollout, type Rollout } from '@sequoiafield/rollout';
 import { createRouting } from '@sequoiafield/routing';
 import { ConfigRepository, HttpStore } from '@sequoiafield/store';
 import type { RandomSource, System } from '@sequoiafield/tables';
-import { createTransport } from '@sequoiafield/transport';
+import { createTransport, type Transport } from '@sequoiafield/transport';
 import {
   FleetQueryKind,
-  MemberState,
+  type FleetQuery,
   type CallReceiver,
   type MemberAnnouncement,
   type Seed,
@@ -26,10 +31,13 @@
 import type { InForceAnswer } from './admin-interface.js';
 import { BackendWatch } from './backend-watch.js';
 import { BurnRecorder } from './burn-recorder.js';
+import { MappedPort } from './mapped-port.js';
 import { RepositoryVerdictStore } from './repository-verdict-store.js';
 
 /** Ids of lagging nodes that an answer to the in-force query names. */
 const laggingNamed = 100;
+/** The smaller of the users' limits on connections to a backend server. */
+const backendConnectionsMax = 110;
 
 /** What the parts of a node are built from. */
 export interface NodePartsOptions {
@@ -41,6 +49,20 @@
   readonly seeds: () => readonly Seed[];
 }
 
+/** The connected parts of a node. */
+export interface NodeParts {
+  readonly transport: Transport;
+  readonly membership: Membership;
+  readonly distribution: Distribution;
+  readonly rollout: Rollout;
+  readonly calls: CallPath;
+  readonly receiver: BackendCallReceiver;
+  readonly repository: ConfigRepository;
+  readonly backendWatch: BackendWatch;
+  /** In the order in which the tick loop runs them. */
+  readonly systems: readonly System[];
+}
+
 const createReceiverSlot = (): CallReceiver & { target?: CallReceiver } => ({
   receive(open, body, signal) {
     if (!this.target) throw new Error('The receiver is used before the node is built');
@@ -48,6 +70,28 @@
   },
 });
 
+const registerFleetQueries = (
+  fleetQuery: FleetQuery,
+  distribution: Distribution,
+  burn: Burn,
+  selfId: string,
+): void => {
+  fleetQuery.register<{ configVersion: number }, InForceAnswer>(FleetQueryKind.InForce, {
+    answer: ({ configVersion }) =>
+      distribution.configVersion() >= configVersion
+        ? { inForce: 1, lagging: [] }
+        : { inForce: 0, lagging: [selfId] },
+    merge: (left, right) => ({
+      inForce: left.inForce + right.inForce,
+      lagging: [...left.lagging, ...right.lagging].slice(0, laggingNamed),
+    }),
+  });
+  fleetQuery.register(FleetQueryKind.BurnWindows, {
+    answer: () => burn.answer(),
+    merge: mergeBurn,
+  });
+};
+
 /**
  * Builds and connects the parts of a node; nothing listens or ticks yet.
  *
@@ -66,14 +110,23 @@
   const backendWatch = new BackendWatch(backendServer);
   // The links carry calls for the receiver, which is built from parts that need the links.
   const receiverSlot = createReceiverSlot();
-  const transport = createTransport({ self, receiver: receiverSlot, logger, random });
+  const transport = createTransport({
+    self: { ...self, linkPort: settings.node.linkPort },
+    receiver: receiverSlot,
+    logger,
+    random,
+  });
+  // The membership announces what the distribution, built from it, has in force.
+  const late: { distribution?: Distribution } = {};
   const membership = createMembership({
     self,
     logger,
     random,
     links: transport.requester,
-    ownConfigVersion: () => distribution.configVersion(),
-    isReady: () => backendWatch.current() !== undefined && distribution.view.isServing(),
+    port: new MappedPort(settings.node.gossipPort),
+    ownConfigVersion: () => late.distribution?.configVersion() ?? 0,
+    isReady: () =>
+      backendWatch.current() !== undefined && late.distribution?.view.isServing() === true,
   });
   const distribution = createDistribution({
     members: membership.view,
@@ -81,15 +134,17 @@
     links: transport.requester,
     headSource: repository,
     checker: { checkReferences, digestOf, parseSection, toCanonicalJson },
-    wantedServices:
-      settings.routing.services.length > 0 ? settings.routing.services : undefined,
+    wantedServices: settings.routing.services.length > 0 ? settings.routing.services : undefined,
     random,
     logger,
     lastRefreshedAtMs: () => membership.lastRefreshedAtMs(),
     witnesses: () => membership.witnesses(),
     seeds,
+    onSeedsRead: (read) =>
+      membership.greet(read.filter(({ id }) => membership.view.get(id) === undefined)),
     onInForce: () => membership.announceConfigVersion(),
   });
+  late.distribution = distribution;
   const rollout = createRollout({
     selfId: self.id,
     snapshot: distribution.view,
@@ -129,7 +184,7 @@
     evidence,
     backend: new UndiciBackendClient({
       origin: `http://${backendServer.address}:${backendServer.port}`,
-      connectionsMax: backendServer.connectionsMax,
+      connectionsMax: backendConnectionsMax,
     }),
   });
   receiverSlot.target = receiver;
@@ -145,20 +200,25 @@
     random,
     logger,
   });
-  membership.fleetQuery.register<{ configVersion: number }, InForceAnswer>(FleetQueryKind.InForce, {
-    answer: ({ configVersion }) =>
-      distribution.configVersion() >= configVersion
-        ? { inForce: 1, lagging: [] }
-        : { inForce: 0, lagging: [self.id] },
-    merge: (left, right) => ({
-      inForce: left.inForce + right.inForce,
-      lagging: [...left.lagging, ...right.lagging].slice(0, laggingNamed),
-    }),
-  });
-  membership.fleetQuery.register(FleetQueryKind.BurnWindows, {
-    answer: () => burn.answer(),
-    merge: mergeBurn,
-  });
-  return { repository, transport, membership, distribution, rollout, calls, burn, backendWatch, receiver, admission: admission.admission, systems: [
-    backendWatch, ...membership.systems, ...distribution.systems, ...rollout.systems, ...routing.systems, ...admission.systems, ...transport.systems, ...burn.systems ] };
+  registerFleetQueries(membership.fleetQuery, distribution, burn, self.id);
+  return {
+    transport,
+    membership,
+    distribution,
+    rollout,
+    calls,
+    receiver,
+    repository,
+    backendWatch,
+    systems: [
+      backendWatch,
+      ...membership.systems,
+      ...distribution.systems,
+      ...rollout.systems,
+      ...routing.systems,
+      ...admission.systems,
+      ...transport.systems,
+      ...burn.systems,
+    ],
+  };
 };
--- /dev/null
+++ b/packages/node/src/node-process.ts
@@ -0,0 +1,201 @@
+import type { AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { NodeSettings } from '@sequoiafield/config';
+import { NodeError } from '@sequoiafield/errors';
+import { logEvents, type Logger } from '@sequoiafield/logger';
+import { SeededRandom, TickLoop, wallNowUnixMs, type System } from '@sequoiafield/tables';
+import { MoveVerdict, type MemberAnnouncement, type Seed } from '@sequoiafield/types';
+import { createAdminInterface, type AdminSource } from './admin-interface.js';
+import type { BackendServerAnnouncement } from './local-backend-server.js';
+import { choosePort } from './choose-port.js';
+import { createMetrics } from './metrics.js';
+import { nodeMetricSources } from './node-metrics.js';
+import { createNodeParts, type NodeParts } from './node-parts.js';
+import { SeedFinder } from './seed-finder.js';
+
+/** Time in which a stopping node still takes callers' calls and passes them to other nodes. */
+const passOnMs = 2000;
+
+/** Ports that a started node listens on. */
+export interface NodePorts {
+  readonly gossipPort: number;
+  readonly linkPort: number;
+  readonly callPort: number;
+  readonly adminPort: number;
+}
+
+/** One node process: the parts of the system beside one backend server. */
+export class NodeProcess implements AdminSource {
+  readonly #parts: NodeParts;
+
+  readonly #loop: TickLoop;
+
+  readonly #metrics;
+
+  readonly #admin;
+
+  #draining: Promise<void> | undefined;
+
+  private constructor(
+    private readonly settings: NodeSettings,
+    private readonly self: MemberAnnouncement,
+    private readonly logger: Logger,
+  ) {
+    const random = new SeededRandom(self.incarnation % 0x7fffffff);
+    const settingsSeeds = settings.gossip.seeds.map(({ address, port }) => ({
+      id: '',
+      address,
+      gossipPort: port,
+    }));
+    this.#parts = createNodeParts({ settings, self, random, logger, seeds: () => settingsSeeds });
+    const { membership, distribution, repository } = this.#parts;
+    const readSeeds = async (dataCentre: string): Promise<readonly Seed[]> =>
+      (await repository.readSeeds(dataCentre))?.record.seeds ?? [];
+    const systems: System[] = [
+      ...this.#parts.systems,
+      new SeedFinder(
+        self.dataCentre,
+        membership.view,
+        distribution.view,
+        membership,
+        readSeeds,
+        random,
+      ),
+    ];
+    this.#loop = new TickLoop(systems, (system, error) =>
+      logger.log(logEvents.systemFailed, { system, error: String(error) }),
+    );
+    this.#metrics = createMetrics(nodeMetricSources(this.#parts));
+    this.#admin = createAdminInterface(this, settings.node.adminToken);
+    membership.join(settingsSeeds).catch(() => undefined);
+  }
+
+  /**
+   * Chooses free ports where the settings leave them open and builds the node; `start` makes it
+   * listen.
+   *
+   * @throws NodeError if the address cannot be used.
+   * @example
+   * const node = await NodeProcess.create(settings, logger);
+   * const ports = await node.start();
+   */
+  static async create(given: NodeSettings, logger: Logger): Promise<NodeProcess> {
+    const { address } = given.node;
+    const gossipPort = await choosePort(given.node.gossipPort, address);
+    const linkPort = await choosePort(given.node.linkPort, address);
+    const callPort = await choosePort(given.node.callPort, address);
+    const settings = { ...given, node: { ...given.node, gossipPort, linkPort, callPort } };
+    const self: MemberAnnouncement = {
+      id: settings.node.id,
+      incarnation: wallNowUnixMs(),
+      address,
+      gossipPort: settings.node.advertisedGossipPort || gossipPort,
+      linkPort: settings.node.advertisedLinkPort || linkPort,
+      callPort,
+      region: settings.node.region,
+      dataCentre: settings.node.dataCentre,
+      service: settings.backendServer.service,
+      backendVersion: settings.backendServer.version,
+    };
+    return new NodeProcess(settings, self, logger);
+  }
+
+  get members(): NodeParts['membership']['view'] {
+    return this.#parts.membership.view;
+  }
+
+  get fleetQuery(): NodeParts['membership']['fleetQuery'] {
+    return this.#parts.membership.fleetQuery;
+  }
+
+  /** Listens on every port and starts the tick loop. */
+  async start(): Promise<NodePorts> {
+    const { transport, membership, distribution, calls } = this.#parts;
+    await transport.start();
+    await membership.start();
+    await calls.start();
+    const { adminAddress, adminPort } = this.settings.node;
+    await this.#admin.listen({ host: adminAddress, port: adminPort });
+    distribution.start();
+    this.#loop.start();
+    const ports: NodePorts = {
+      gossipPort: this.settings.node.gossipPort,
+      linkPort: this.settings.node.linkPort,
+      callPort: calls.callPort,
+      adminPort: (this.#admin.server.address() as AddressInfo).port,
+    };
+    this.logger.log(logEvents.nodeStarted, { ...ports });
+    return ports;
+  }
+
+  /** Announces that this node leaves; it takes no new calls for its backend server from now on. */
+  drain(): void {
+    const { membership, transport, backendWatch, receiver } = this.#parts;
+    backendWatch.drain();
+    receiver.startDraining();
+    membership.announceDraining();
+    transport.announceDraining();
+  }
+
+  /**
+   * Planned stop: announces it, passes callers' calls on for a moment, finishes what runs, at most
+   * for the drain timeout of the settings, and closes everything.
+   */
+  stop(): Promise<void> {
+    this.#draining ??= this.#stopGracefully();
+    return this.#draining;
+  }
+
+  announce(announcement: BackendServerAnnouncement): void {
+    if (this.#draining) throw new NodeError('This node is stopping');
+    this.#parts.backendWatch.announce(announcement);
+  }
+
+  state(): Readonly<Record<string, unknown>> {
+    const { distribution, membership, rollout } = this.#parts;
+    const snapshot = distribution.view.current();
+    return {
+      id: this.self.id,
+      incarnation: this.self.incarnation,
+      dataCentre: this.self.dataCentre,
+      service: this.self.service,
+      backendVersion: this.self.backendVersion,
+      configVersion: distribution.configVersion(),
+      floor: distribution.floor() ?? null,
+      isServing: distribution.view.isServing(),
+      isStale: distribution.isStale(),
+      hasBackendServer: this.#parts.backendWatch.current() !== undefined,
+      services: snapshot ? [...snapshot.services.keys()] : [],
+      members: membership.view.fleetSize(),
+      movesTakenBack: rollout.view
+        .statuses()
+        .filter(({ verdict }) => verdict === MoveVerdict.TakenBack).length,
+      headReads: distribution.headReads(),
+      controlBytes: membership.counters.sentBytes + membership.counters.receivedBytes,
+    };
+  }
+
+  moves(): ReturnType<AdminSource['moves']> {
+    return this.#parts.rollout.view.statuses();
+  }
+
+  metrics(): Promise<string> {
+    return this.#metrics.metrics();
+  }
+
+  async #stopGracefully(): Promise<void> {
+    this.logger.log(logEvents.nodeDraining, {});
+    this.drain();
+    await delay(passOnMs);
+    const { calls, membership, distribution, transport } = this.#parts;
+    const timeout = delay(this.settings.drain.timeoutMs, undefined, { ref: false });
+    await Promise.race([calls.drain(), timeout]);
+    membership.announceLeft();
+    this.#loop.stop();
+    distribution.stop();
+    await this.#admin.close();
+    await transport.stop();
+    membership.stop();
+    this.logger.log(logEvents.nodeStopped, {});
+  }
+}
--- a/packages/types/src/records.ts
+++ b/packages/types/src/records.ts
@@ -3,6 +3,7 @@
 /** Verdict on a move as it is kept in the store. */
 export interface VerdictRecord {
   readonly moveId: string;
+  readonly service: string;
   readonly verdict: MoveVerdict;
   readonly reason: string;
   readonly decidedAtUnixMs: number;
