Add the local mesh harness and the first integration tests

Cause: the processes had been joined only by hand. Change: LocalMesh starts store, fault proxy, backend servers and nodes and checks every run of the call generator against the ledgers; three tests with four real nodes in two data centres.

--- /dev/null
+++ b/packages/integration-tests/src/configurations.ts
@@ -0,0 +1,75 @@
+/** Files of a configuration folder by name. */
+export type ConfigurationFiles = Readonly<Record<string, string>>;
+
+/** A move as a test writes it. */
+export interface TestMove {
+  readonly id: string;
+  readonly service: string;
+  readonly from: string;
+  readonly to: string;
+  readonly startAt: Date;
+  readonly finishBy: Date;
+}
+
+const serviceText = (name: string, priority: string): string =>
+  [
+    `[service ${name}]`,
+    `priority = ${priority}`,
+    'stable_version = v1',
+    'slots = 10',
+    'connections_max = 130',
+    'failure_limit_percent = 2',
+    'latency_limit_ms = 250',
+    '',
+  ].join('\n');
+
+const routeText = (service: string, method: string, path: string, isIdempotent: boolean): string =>
+  [
+    `[route ${service}-${method.toLowerCase()}]`,
+    `service = ${service}`,
+    `method = ${method}`,
+    `path = ${path}`,
+    `idempotent = ${isIdempotent ? 'yes' : 'no'}`,
+    'deadline_ms = 3000',
+    'retry_budget_percent = 20',
+    '',
+  ].join('\n');
+
+const dataCentreText = (name: string, state: string): string =>
+  [`[data-centre ${name}]`, 'region = local', `state = ${state}`, 'ramp_s = 5', ''].join('\n');
+
+/** Services of Kerasma: lookups of tabs and settlements, which must not be repeated. */
+export const kerasmaFiles = (
+  dataCentres: Readonly<Record<string, 'in' | 'out'>>,
+): ConfigurationFiles => ({
+  '10-data-centres.ini': Object.entries(dataCentres)
+    .map(([name, state]) => dataCentreText(name, state))
+    .join('\n'),
+  '20-settlement.ini':
+    serviceText('settlement', 'critical') +
+    routeText('settlement', 'GET', '/tabs/*', true) +
+    routeText('settlement', 'POST', '/settle/*', false),
+  '90-objectives.ini': [
+    '[objective settlement]',
+    'service = settlement',
+    'target_percent = 99.9',
+    'latency_ms = 300',
+    'window_d = 30',
+    '',
+  ].join('\n'),
+});
+
+/** Adds a move in a file of its own. */
+export const withMove = (files: ConfigurationFiles, move: TestMove): ConfigurationFiles => ({
+  ...files,
+  '50-move.ini': [
+    `[move ${move.id}]`,
+    `service = ${move.service}`,
+    `from = ${move.from}`,
+    `to = ${move.to}`,
+    `start_at = ${move.startAt.toISOString()}`,
+    `finish_by = ${move.finishBy.toISOString()}`,
+    'unproven_cap_percent = 5',
+    '',
+  ].join('\n'),
+});
--- /dev/null
+++ b/packages/stand-ins/src/harness/local-instance.ts
@@ -0,0 +1,151 @@
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { BehaviourChange } from '../backend-server/behaviour.js';
+import { takeFreePort } from './free-ports.js';
+import { ManagedProcess } from './managed-process.js';
+
+/** Instance to start: a backend server and the node beside it. */
+export interface InstancePlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly region?: string;
+  readonly service: string;
+  readonly backendVersion: string;
+  readonly behaviour?: BehaviourChange;
+}
+
+/** Where the bundles and the working folder are. */
+export interface HarnessPaths {
+  readonly command: string;
+  readonly standIns: string;
+  readonly workFolder: string;
+}
+
+/** Ports of an instance; the advertised ones lead through the fault proxy. */
+export interface InstancePorts {
+  readonly gossip: number;
+  readonly link: number;
+  readonly call: number;
+  readonly admin: number;
+  readonly backendServer: number;
+  readonly advertisedGossip: number;
+  readonly advertisedLink: number;
+}
+
+/**
+ * Takes the ports of an instance.
+ *
+ * @example
+ * const ports = await takeInstancePorts(true);
+ */
+export const takeInstancePorts = async (isProxied: boolean): Promise<InstancePorts> => ({
+  gossip: await takeFreePort(),
+  link: await takeFreePort(),
+  call: await takeFreePort(),
+  admin: await takeFreePort(),
+  backendServer: await takeFreePort(),
+  advertisedGossip: isProxied ? await takeFreePort() : 0,
+  advertisedLink: isProxied ? await takeFreePort() : 0,
+});
+
+/** One instance of a local mesh: a node process and a backend server process. */
+export class LocalInstance {
+  node: ManagedProcess | undefined;
+
+  backendServer: ManagedProcess | undefined;
+
+  constructor(
+    readonly plan: InstancePlan,
+    readonly ports: InstancePorts,
+    private readonly paths: HarnessPaths,
+    private readonly storeUrl: string,
+  ) {}
+
+  get callUrl(): string {
+    return `http://127.0.0.1:${this.ports.call}`;
+  }
+
+  get adminUrl(): string {
+    return `http://127.0.0.1:${this.ports.admin}`;
+  }
+
+  get backendUrl(): string {
+    return `http://127.0.0.1:${this.ports.backendServer}`;
+  }
+
+  get ledgerFile(): string {
+    return join(this.paths.workFolder, `${this.plan.id}.ledger`);
+  }
+
+  async start(): Promise<void> {
+    this.startBackendServer();
+    this.startNode();
+    await Promise.all([this.backendServer?.ready(), this.node?.ready()]);
+  }
+
+  startNode(): void {
+    const file = join(this.paths.workFolder, `${this.plan.id}.ini`);
+    writeFileSync(file, this.#settings());
+    this.node = new ManagedProcess(`node ${this.plan.id}`, this.paths.command, [
+      'node',
+      '--settings',
+      file,
+    ]);
+  }
+
+  startBackendServer(): void {
+    const { id, service, backendVersion, behaviour } = this.plan;
+    this.backendServer = new ManagedProcess(`backend server ${id}`, this.paths.standIns, [
+      'backend-server',
+      ...['--id', id, '--service', service, '--backendVersion', backendVersion],
+      ...['--port', String(this.ports.backendServer), '--admin', this.adminUrl],
+      ...['--behaviour', JSON.stringify(behaviour ?? {}), '--ledgerFile', this.ledgerFile],
+    ]);
+  }
+
+  /** Changes the behaviour of the backend server while it runs. */
+  async change(behaviour: BehaviourChange): Promise<void> {
+    const response = await fetch(`${this.backendUrl}/-/control`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(behaviour),
+    });
+    if (!response.ok) throw new Error(`${this.plan.id} refused a behaviour: ${response.status}`);
+  }
+
+  async state(): Promise<Record<string, unknown>> {
+    const response = await fetch(`${this.adminUrl}/v1/state`, {
+      signal: AbortSignal.timeout(2000),
+    });
+    return (await response.json()) as Record<string, unknown>;
+  }
+
+  async kill(): Promise<void> {
+    await Promise.all([this.node?.kill(), this.backendServer?.kill()]);
+  }
+
+  #settings(): string {
+    const { plan, ports } = this;
+    return [
+      '[node]',
+      `id = ${plan.id}`,
+      'address = 127.0.0.1',
+      `region = ${plan.region ?? 'local'}`,
+      `data_centre = ${plan.dataCentre}`,
+      `gossip_port = ${ports.gossip}`,
+      `link_port = ${ports.link}`,
+      `call_port = ${ports.call}`,
+      `admin_port = ${ports.admin}`,
+      `advertised_gossip_port = ${ports.advertisedGossip}`,
+      `advertised_link_port = ${ports.advertisedLink}`,
+      '[backend_server]',
+      `service = ${plan.service}`,
+      `version = ${plan.backendVersion}`,
+      `port = ${ports.backendServer}`,
+      'health_path = /-/health',
+      '[store]',
+      `url = ${this.storeUrl}`,
+      '',
+    ].join('\n');
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/harness/local-mesh.ts
@@ -0,0 +1,223 @@
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Fault } from '../fault-proxy/fault.js';
+import type { FaultRule } from '../store/index.js';
+import {
+  LocalInstance,
+  takeInstancePorts,
+  type HarnessPaths,
+  type InstancePlan,
+} from './local-instance.js';
+import { takeFreePort } from './free-ports.js';
+import { ManagedProcess } from './managed-process.js';
+
+const pollIntervalMs = 50;
+
+/** Result of a command that ended. */
+export interface CommandOutcome {
+  readonly code: number | null;
+  readonly output: string;
+  readonly log: string;
+}
+
+/** Result of the call generator, as far as tests read it. */
+export interface LoadOutcome {
+  readonly requests: number;
+  readonly outcomes: Readonly<Record<string, number>>;
+  readonly reasons: Readonly<Record<string, number>>;
+  readonly routes: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  readonly verification: {
+    readonly violationCount: number;
+    readonly areLedgersComplete: boolean;
+    readonly violations: readonly unknown[];
+  };
+}
+
+/** What a local mesh consists of. */
+export interface LocalMeshOptions {
+  /** Folder with the bundles `sequoiafield.cjs` and `stand-ins.cjs`. */
+  readonly distFolder: string;
+  readonly instances: readonly InstancePlan[];
+  /** Puts a fault proxy in front of the gossip and link ports of every instance. */
+  readonly isProxied?: boolean;
+  readonly seed?: number;
+}
+
+/** Store, backend servers and nodes as real processes on loopback. */
+export class LocalMesh {
+  readonly instances = new Map<string, LocalInstance>();
+
+  readonly #paths: HarnessPaths;
+
+  #store: ManagedProcess | undefined;
+
+  #proxy: ManagedProcess | undefined;
+
+  #proxyUrl = '';
+
+  storeUrl = '';
+
+  constructor(private readonly options: LocalMeshOptions) {
+    this.#paths = {
+      command: join(options.distFolder, 'sequoiafield.cjs'),
+      standIns: join(options.distFolder, 'stand-ins.cjs'),
+      workFolder: mkdtempSync(join(tmpdir(), 'sequoiafield-')),
+    };
+  }
+
+  /** Starts the store, the fault proxy if wanted, and every instance. */
+  async start(): Promise<void> {
+    const storePort = await takeFreePort();
+    this.storeUrl = `http://127.0.0.1:${storePort}`;
+    this.#store = new ManagedProcess('store', this.#paths.standIns, [
+      'store',
+      '--port',
+      String(storePort),
+    ]);
+    await this.#store.ready();
+    for (const plan of this.options.instances) {
+      const ports = await takeInstancePorts(this.options.isProxied === true);
+      const instance = new LocalInstance(plan, ports, this.#paths, this.storeUrl);
+      this.instances.set(plan.id, instance);
+    }
+    if (this.options.isProxied) await this.#startProxy();
+    await Promise.all([...this.instances.values()].map((instance) => instance.start()));
+  }
+
+  instance(id: string): LocalInstance {
+    const instance = this.instances.get(id);
+    if (!instance) throw new Error(`Instance "${id}" does not exist`);
+    return instance;
+  }
+
+  get anyInstance(): LocalInstance {
+    const [first] = this.instances.values();
+    if (!first) throw new Error('The mesh has no instance');
+    return first;
+  }
+
+  /** Runs a command of `sequoiafield` to its end. */
+  async run(args: readonly string[]): Promise<CommandOutcome> {
+    return new ManagedProcess(args.join(' '), this.#paths.command, args).finish();
+  }
+
+  /** Writes files into a configuration folder and returns its path. */
+  writeFolder(name: string, files: Readonly<Record<string, string>>): string {
+    const folder = join(this.#paths.workFolder, name);
+    rmSync(folder, { recursive: true, force: true });
+    mkdirSync(folder, { recursive: true });
+    Object.entries(files).forEach(([file, text]) => writeFileSync(join(folder, file), text));
+    return folder;
+  }
+
+  /** Applies files as the whole configuration; `args` are added to the command. */
+  apply(
+    files: Readonly<Record<string, string>>,
+    args: readonly string[] = [],
+  ): Promise<CommandOutcome> {
+    const folder = this.writeFolder('configuration', files);
+    return this.run(['apply', folder, '--store', this.storeUrl, '--author', 'test', ...args]);
+  }
+
+  /** Polls until the condition holds; fails with the label after the time. */
+  async waitUntil(
+    label: string,
+    timeoutMs: number,
+    condition: () => Promise<boolean> | boolean,
+  ): Promise<number> {
+    const startedAtMs = performance.now();
+    for (;;) {
+      if (await Promise.resolve(condition()).catch(() => false)) {
+        return performance.now() - startedAtMs;
+      }
+      if (performance.now() - startedAtMs > timeoutMs) {
+        throw new Error(`Not within ${timeoutMs} ms: ${label}`);
+      }
+      await delay(pollIntervalMs);
+    }
+  }
+
+  /** Waits until every running node serves the version and knows the whole fleet. */
+  async waitInForce(configVersion: number, timeoutMs = 20_000): Promise<number> {
+    const ids = [...this.instances.keys()];
+    return this.waitUntil(`version ${configVersion} in force on all`, timeoutMs, async () => {
+      const states = await Promise.all(ids.map((id) => this.instance(id).state()));
+      return states.every(
+        (state) =>
+          Number(state.configVersion) >= configVersion &&
+          state.isServing === true &&
+          state.members === ids.length,
+      );
+    });
+  }
+
+  /** Sets the faults of the store; an empty list ends them. */
+  async setStoreFaults(rules: readonly Partial<FaultRule>[]): Promise<void> {
+    await this.#put(`${this.storeUrl}/control/faults`, rules);
+  }
+
+  /** Calls of the store so far, by kind. */
+  async storeCounters(): Promise<Record<string, number>> {
+    const response = await fetch(`${this.storeUrl}/control/counters`);
+    return (await response.json()) as Record<string, number>;
+  }
+
+  /** Sets the fault of proxied paths: `link:ID` and `gossip:ID`, or `*` for all. */
+  async setFault(paths: readonly string[], fault: Partial<Fault>): Promise<void> {
+    await this.#put(`${this.#proxyUrl}/faults`, { paths, ...fault });
+  }
+
+  /** Starts the call generator; the result compares with the ledgers of all backend servers. */
+  startLoad(args: readonly string[], targets: readonly string[]): () => Promise<LoadOutcome> {
+    const generator = new ManagedProcess('call generator', this.#paths.standIns, [
+      'call-generator',
+      ...targets.flatMap((id) => ['--target', this.instance(id).callUrl]),
+      ...[...this.instances.values()].flatMap(({ ledgerFile }) => ['--ledgerFile', ledgerFile]),
+      ...['--seed', String(this.options.seed ?? 1), ...args],
+    ]);
+    return async () => {
+      const { output, log } = await generator.finish();
+      const line = output.split('\n').findLast((text) => text.startsWith('{'));
+      if (!line) throw new Error(`The call generator printed no result:\n${log}`);
+      return JSON.parse(line) as LoadOutcome;
+    };
+  }
+
+  /** Ends every process that this mesh started and removes its files. */
+  async stop(): Promise<void> {
+    const instances = [...this.instances.values()];
+    instances.forEach(({ node, backendServer }) => {
+      node?.resume();
+      backendServer?.resume();
+    });
+    await Promise.all(instances.map((instance) => instance.kill()));
+    await this.#proxy?.kill();
+    await this.#store?.kill();
+    rmSync(this.#paths.workFolder, { recursive: true, force: true });
+  }
+
+  async #startProxy(): Promise<void> {
+    const controlPort = await takeFreePort();
+    const paths = [...this.instances.values()].flatMap(({ plan, ports }) => [
+      ...['--path', `gossip:${plan.id}=udp:${ports.advertisedGossip}:${ports.gossip}`],
+      ...['--path', `link:${plan.id}=tcp:${ports.advertisedLink}:${ports.link}`],
+    ]);
+    this.#proxyUrl = `http://127.0.0.1:${controlPort}`;
+    this.#proxy = new ManagedProcess('fault proxy', this.#paths.standIns, [
+      'fault-proxy',
+      ...['--control-port', String(controlPort), ...paths],
+    ]);
+    await this.#proxy.ready();
+  }
+
+  async #put(url: string, body: unknown): Promise<void> {
+    const response = await fetch(url, {
+      method: 'PUT',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    if (!response.ok) throw new Error(`${url} answered ${response.status}`);
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,3 +9,7 @@
 export * from './call-generator/ledger-check.js';
 export * from './call-generator/outcome.js';
 export { summarizeRun } from './call-generator/summary.js';
+export { FaultDirection, FaultMode, type Fault as PathFault } from './fault-proxy/fault.js';
+export * from './harness/local-instance.js';
+export * from './harness/local-mesh.js';
+export { ManagedProcess } from './harness/managed-process.js';
