Test refusals, retries and connections of the call path for each fault

Cause: a false "not run" or a doubled run at any step of a call breaks an invariant, and the steps differ in what is known.

--- a/packages/calls/src/call-path-options.ts
+++ b/packages/calls/src/call-path-options.ts
@@ -10,7 +10,6 @@
   SnapshotView,
 } from '@sequoiafield/types';
 import type { BackendCallReceiver } from './call-receiver.js';
-import type { CallTracker } from './call-tracker.js';
 import type { RetryPolicy } from './retry-policy.js';
 
 /** What a call path needs. */
@@ -30,6 +29,4 @@
   readonly logger: Logger;
   /** `SafeRetryPolicy` unless a test replaces it. */
   readonly retryPolicy?: RetryPolicy;
-  /** `RunningCalls` unless a test replaces it. */
-  readonly tracker?: CallTracker;
 }
--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -15,7 +15,6 @@
 import type { CallPathOptions } from './call-path-options.js';
 import { CallRun } from './call-run.js';
 import { CallScope } from './call-scope.js';
-import type { CallTracker } from './call-tracker.js';
 import type { CallCounters } from './counters.js';
 import { forwardRequestHeaders } from './headers.js';
 import { pathOf, readDeadlineMs, readRequestId } from './inbound-call.js';
@@ -35,7 +34,7 @@
 
   readonly #policy: RetryPolicy;
 
-  readonly #running: CallTracker;
+  readonly #running = new RunningCalls();
 
   #isDraining = false;
 
@@ -43,7 +42,6 @@
 
   constructor(private readonly options: CallPathOptions) {
     this.counters = options.receiver.counters;
-    this.#running = options.tracker ?? new RunningCalls();
     this.#policy = options.retryPolicy ?? new SafeRetryPolicy();
     this.#server = fastify({
       logger: false,
--- a/packages/calls/src/call-receiver.ts
+++ b/packages/calls/src/call-receiver.ts
@@ -13,7 +13,6 @@
   type RolloutView,
 } from '@sequoiafield/types';
 import type { BackendClient, BackendEnd } from './backend-client.js';
-import type { CallTracker } from './call-tracker.js';
 import { CallCounters } from './counters.js';
 import { notRun, refused, unknownOutcome } from './refusals.js';
 import { RunningCalls } from './running-calls.js';
@@ -27,8 +26,6 @@
   readonly evidence: EvidenceRecorder;
   readonly backend: BackendClient;
   readonly counters?: CallCounters;
-  /** `RunningCalls` unless a test replaces it. */
-  readonly tracker?: CallTracker;
 }
 
 /**
@@ -42,13 +39,12 @@
 export class BackendCallReceiver implements CallReceiver {
   readonly counters: CallCounters;
 
-  readonly running: CallTracker;
+  readonly running = new RunningCalls();
 
   #isDraining = false;
 
   constructor(private readonly options: CallReceiverOptions) {
     this.counters = options.counters ?? new CallCounters();
-    this.running = options.tracker ?? new RunningCalls();
   }
 
   async receive(
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -3,7 +3,6 @@
 export { CallPath, createCallPath } from './call-path.js';
 export type { CallPathOptions } from './call-path-options.js';
 export { BackendCallReceiver, type CallReceiverOptions } from './call-receiver.js';
-export type { CallTracker } from './call-tracker.js';
 export { CallCounters } from './counters.js';
 export { backendRefusedHeader, backendRefusedNotRun } from './headers.js';
 export { SafeRetryPolicy, type RetryPolicy, type RetryQuestion } from './retry-policy.js';
--- a/packages/calls/src/running-calls.ts
+++ b/packages/calls/src/running-calls.ts
@@ -1,7 +1,5 @@
-import type { CallTracker } from './call-tracker.js';
-
-/** Counts calls by request id. */
-export class RunningCalls implements CallTracker {
+/** Calls that run now, by request id; a drain waits for them. */
+export class RunningCalls {
   readonly #counts = new Map<string, number>();
 
   #size = 0;
@@ -12,10 +10,12 @@
     return this.#size;
   }
 
+  /** Whether a call with this request id runs. */
   has(requestId: string): boolean {
     return this.#counts.has(requestId);
   }
 
+  /** Counts a call as running until the returned function is called. */
   begin(requestId: string): () => void {
     this.#size += 1;
     this.#counts.set(requestId, (this.#counts.get(requestId) ?? 0) + 1);
@@ -27,6 +27,7 @@
     };
   }
 
+  /** Resolves once no call runs. */
   whenIdle(): Promise<void> {
     if (this.#size === 0) return Promise.resolve();
     return new Promise((resolve) => {
--- /dev/null
+++ b/packages/calls/src/test-support/faulty-backend.ts
@@ -0,0 +1,54 @@
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+
+type Fault = (response: ServerResponse, request: IncomingMessage) => void;
+
+/** How the backend server fails, by path; it runs every request but the refused one. */
+const faults: Record<string, Fault> = {
+  '/ok': (response) => response.end('done'),
+  '/fail': (response) => response.writeHead(500).end('failed'),
+  '/refuse': (response) => response.writeHead(503, { 'x-backend-refused': 'not-run' }).end(),
+  '/busy': (response) => response.writeHead(503).end('busy'),
+  '/pass-on': (response) =>
+    response.writeHead(503, { 'x-sequoiafield-outcome': 'not-run' }).end('from upstream'),
+  '/drop': (response) => response.socket?.destroy(),
+  '/cut': (response) => {
+    response.writeHead(200, { 'content-length': '10' });
+    response.write('half', () => response.socket?.destroy());
+  },
+  '/cut-chunked': (response) => {
+    response.write('half', () => response.socket?.destroy());
+  },
+  '/no-length': (response) => {
+    response.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf');
+  },
+  '/hang': () => undefined,
+  '/slow': (response) => {
+    setTimeout(() => response.end('done'), 150);
+  },
+};
+
+/** Backend server that fails as its path says; `runs` is its ledger of request ids. */
+export class FaultyBackend {
+  readonly runs: string[] = [];
+
+  /** Requests whose connection was closed before their answer was sent. */
+  cancelled = 0;
+
+  readonly listener: RequestListener = (request, response) => {
+    const path = request.url ?? '/';
+    const id = String(request.headers['x-sequoiafield-request-id']);
+    request.resume();
+    request.on('end', () => {
+      if (path !== '/refuse') this.runs.push(id);
+      faults[path]?.(response, request);
+    });
+    response.on('close', () => {
+      if (!response.writableFinished) this.cancelled += 1;
+    });
+  };
+
+  /** How often a request ran. */
+  runsOf(requestId: string): number {
+    return this.runs.filter((id) => id === requestId).length;
+  }
+}
--- a/packages/calls/src/test-support/rig.ts
+++ b/packages/calls/src/test-support/rig.ts
@@ -61,9 +61,10 @@
   /** Refusal of the admission, or undefined to admit. */
   readonly admit?: () => CallRefusal | undefined;
   readonly isAllowed?: () => boolean;
+  readonly service?: string;
 }
 
-/** One node in this process; `members` of all nodes are chosen in the order of the list. */
+/** One node in this process, with decisions that a test sets. */
 export class RigNode {
   readonly reports: AttemptReport[] = [];
 
@@ -73,7 +74,7 @@
 
   released = 0;
 
-  isServing = true;
+  #isServing = true;
 
   readonly self: MemberRow;
 
@@ -83,8 +84,7 @@
 
   readonly calls: CallPath;
 
-  /** Members that this node may choose, first first. */
-  members: MemberRow[] = [];
+  #members: readonly MemberRow[] = [];
 
   readonly backend: UndiciBackendClient;
 
@@ -100,7 +100,7 @@
       callPort: 0,
       region: 'hellas',
       dataCentre: 'ath-1',
-      service: service.name,
+      service: options.service ?? service.name,
       backendVersion: 'v1',
       state: MemberState.Alive,
       configVersion: 1,
@@ -135,7 +135,13 @@
       },
     };
     const { self, backend } = this;
-    this.receiver = new BackendCallReceiver({ self, rollout, admission, evidence, backend });
+    this.receiver = new BackendCallReceiver({
+      self,
+      rollout,
+      admission,
+      evidence,
+      backend,
+    });
     const { receiver } = this;
     this.transport = createTransport({ self, receiver, logger, random, ...options.transport });
     this.calls = createCallPath({
@@ -149,14 +155,14 @@
       sequence: this.transport.sequence,
       snapshots: {
         current: () => undefined,
-        isServing: () => this.isServing,
+        isServing: () => this.#isServing,
         want: () => undefined,
       },
       router: {
         match: (method, path) =>
           path.startsWith('/none') ? undefined : { route: routeOf(method !== 'POST'), service },
         choose: (_service, _version, tried) =>
-          this.members.find((member) => !tried.has(member.id)) ?? this.members[0],
+          this.#members.find((member) => !tried.has(member.id)) ?? this.#members[0],
         begin: () => undefined,
         report: (report) => {
           this.reports.push(report);
@@ -164,7 +170,7 @@
         recordFirstAttempt: () => undefined,
         takeRetry: () => true,
       },
-      ...(options.retryPolicy ? { retryPolicy: options.retryPolicy } : {}),
+      retryPolicy: options.retryPolicy,
     });
     this.#loop = new TickLoop(this.transport.systems, (_name, error) => {
       throw error;
@@ -175,6 +181,15 @@
     return `http://127.0.0.1:${this.calls.callPort}`;
   }
 
+  /** Members that this node may choose, first first. */
+  setMembers(members: readonly MemberRow[]): void {
+    this.#members = members;
+  }
+
+  setServing(isServing: boolean): void {
+    this.#isServing = isServing;
+  }
+
   /** Row of this node with its ports. */
   get row(): MemberRow {
     return { ...this.self, linkPort: this.transport.linkPort, callPort: this.calls.callPort };
--- a/packages/calls/src/two-nodes.test.ts
+++ b/packages/calls/src/two-nodes.test.ts
@@ -21,7 +21,7 @@
     await Promise.all([near.stop(), far.stop()]);
     server.close();
   });
-  near.members = [far.row];
+  near.setMembers([far.row]);
   const headers = { 'x-sequoiafield-request-id': 'r-1', 'x-sequoiafield-deadline-ms': '900' };
   const response = await fetch(`${near.url}/settle/7?full=1`, {
     method: 'POST',
