Measure the latency and processor time that a call costs

Cause: the aim of 1.2 ms at the 99th percentile had no measurement of the code.

Change: benchmark "call" with a backend server, two nodes and a load generator as processes. Direct and mesh calls take turns, so that noise hits both alike.

--- /dev/null
+++ b/packages/bench/src/call/backend-process.ts
@@ -0,0 +1,22 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { answerParent } from './child-answers.js';
+
+/** Size of an answer; small answers show the cost of a call, not of its bytes. */
+const answerBytes = 200;
+const answer = Buffer.alloc(answerBytes, 'a');
+
+const server = createServer((request, response) => {
+  request.resume();
+  request.on('end', () => {
+    response.writeHead(200, {
+      'content-type': 'text/plain',
+      'content-length': String(answerBytes),
+    });
+    response.end(answer);
+  });
+});
+server.keepAliveTimeout = 60_000;
+server.listen(0, '127.0.0.1', () => {
+  answerParent({ port: (server.address() as AddressInfo).port }, async () => undefined);
+});
--- /dev/null
+++ b/packages/bench/src/call/benchmark.ts
@@ -0,0 +1,94 @@
+import type { Benchmark, BenchmarkOptions, BenchmarkReport } from '../benchmark.js';
+import { Mesh, type Phase } from './mesh.js';
+
+const rates = [50, 250, 500];
+/** Calls per phase and direction; enough for a 99.9th percentile of the faster rates. */
+const callsPerPhase = 5000;
+const phaseMinMs = 8000;
+const phaseMaxMs = 20_000;
+const quickPhaseMs = 3000;
+const targetP99Us = 1200;
+
+const phases: readonly Phase[] = [
+  ...rates.flatMap((callsPerSecond) =>
+    (['GET', 'POST'] as const).map((method): Phase => ({
+      path: 'two nodes',
+      method,
+      callsPerSecond,
+    })),
+  ),
+  { path: 'own backend server', method: 'GET', callsPerSecond: 250 },
+  { path: 'own backend server', method: 'POST', callsPerSecond: 250 },
+];
+
+/** The processes compile their hot code in these phases, as a node that runs for long has. */
+const warmUpMs = 3000;
+const warmUpPhases = phases.filter(({ callsPerSecond }) => callsPerSecond === 500);
+
+const phaseMs = (phase: Phase, isQuick: boolean): number => {
+  const wantedMs = (callsPerPhase / phase.callsPerSecond) * 1000;
+  return isQuick ? quickPhaseMs : Math.min(phaseMaxMs, Math.max(phaseMinMs, wantedMs));
+};
+
+const columns = [
+  'path',
+  'method',
+  'calls/s',
+  'calls',
+  'failed',
+  'direct_p50_us',
+  'direct_p99_us',
+  'direct_p999_us',
+  'mesh_p50_us',
+  'mesh_p99_us',
+  'mesh_p999_us',
+  'added_p50_us',
+  'added_p99_us',
+  'added_p999_us',
+  'node_a_us/call',
+  'node_b_us/call',
+];
+
+/** Added latency and processor time of a call through the mesh against the direct call. */
+export class CallBenchmark implements Benchmark {
+  readonly name = 'call';
+
+  readonly description = 'Latency that the mesh adds to a call, and its processor time';
+
+  async run(options: BenchmarkOptions): Promise<BenchmarkReport> {
+    const mesh = new Mesh();
+    const rows: (string | number)[][] = [];
+    const figures: Record<string, number | boolean> = {};
+    try {
+      await mesh.start();
+      for (const phase of warmUpPhases) await mesh.run(phase, warmUpMs);
+      for (const phase of phases) {
+        const outcome = await mesh.run(phase, phaseMs(phase, options.isQuick));
+        const { direct, mesh: through } = outcome.result;
+        const name = `${phase.path} ${phase.method} ${phase.callsPerSecond}`.replaceAll(' ', '_');
+        figures[`${name}_added_p50_us`] = through.p50Us - direct.p50Us;
+        figures[`${name}_added_p99_us`] = through.p99Us - direct.p99Us;
+        figures[`${name}_added_p999_us`] = through.p999Us - direct.p999Us;
+        rows.push([
+          phase.path,
+          phase.method,
+          phase.callsPerSecond,
+          through.count,
+          direct.failed + through.failed,
+          ...[direct.p50Us, direct.p99Us, direct.p999Us],
+          ...[through.p50Us, through.p99Us, through.p999Us],
+          ...[through.p50Us - direct.p50Us, through.p99Us - direct.p99Us],
+          through.p999Us - direct.p999Us,
+          ...[outcome.nearUs, outcome.farUs],
+        ]);
+      }
+    } finally {
+      await mesh.stop();
+    }
+    const added = (key: string): number => Number(figures[`${key}_added_p99_us`]);
+    figures.target_p99_us = targetP99Us;
+    figures.is_target_met_at_250 =
+      added('two_nodes_GET_250') <= targetP99Us && added('two_nodes_POST_250') <= targetP99Us;
+    return { name: this.name, columns: [...columns], rows, figures };
+  }
+}
--- /dev/null
+++ b/packages/bench/src/call/messages.ts
@@ -0,0 +1,41 @@
+/** What a process of the benchmark is asked by its parent. */
+export type Question =
+  | { readonly kind: 'usage' }
+  | { readonly kind: 'load'; readonly load: LoadOptions }
+  | { readonly kind: 'members'; readonly members: readonly PeerPorts[] };
+
+/** Where a node of the benchmark listens. */
+export interface PeerPorts {
+  readonly id: string;
+  readonly linkPort: number;
+  readonly callPort: number;
+}
+
+/** One phase of load: each call is sent directly and through the mesh, half an interval apart. */
+export interface LoadOptions {
+  readonly directOrigin: string;
+  readonly meshOrigin: string;
+  readonly method: 'GET' | 'POST';
+  readonly callsPerSecond: number;
+  readonly durationMs: number;
+}
+
+/** Latency in microseconds at the 50th, 99th and 99.9th percentile. */
+export interface Quantiles {
+  readonly count: number;
+  readonly failed: number;
+  readonly p50Us: number;
+  readonly p99Us: number;
+  readonly p999Us: number;
+}
+
+/** Result of one phase of load. */
+export interface LoadResult {
+  readonly direct: Quantiles;
+  readonly mesh: Quantiles;
+}
+
+/** Processor time of a process so far. */
+export interface Usage {
+  readonly processorUs: number;
+}
--- /dev/null
+++ b/packages/bench/src/call/node-process.ts
@@ -0,0 +1,46 @@
+import { BackendCallReceiver, createCallPath, UndiciBackendClient } from '@sequoiafield/calls';
+import { SilentLogger } from '@sequoiafield/logger';
+import { SeededRandom, TickLoop } from '@sequoiafield/tables';
+import { createTransport } from '@sequoiafield/transport';
+import { answerParent } from './child-answers.js';
+import { FixedDecisions, makeRow } from './fixed-decisions.js';
+
+const [id = 'node', backendOrigin = ''] = process.argv.slice(2);
+const self = makeRow({ id, linkPort: 0, callPort: 0 });
+const decisions = new FixedDecisions();
+const logger = new SilentLogger();
+const random = new SeededRandom(1);
+const receiver = new BackendCallReceiver({
+  self,
+  rollout: decisions,
+  admission: decisions,
+  evidence: decisions,
+  backend: new UndiciBackendClient({ origin: backendOrigin, connectionsMax: 130 }),
+});
+const transport = createTransport({ self, receiver, logger, random });
+const calls = createCallPath({
+  self,
+  snapshots: decisions,
+  router: decisions,
+  rollout: decisions,
+  evidence: decisions,
+  receiver,
+  sender: transport.sender,
+  sequence: transport.sequence,
+  random,
+  logger,
+});
+const start = async (): Promise<void> => {
+  await transport.start();
+  await calls.start();
+  new TickLoop(transport.systems, (name, error) => console.error(name, error)).start();
+  const ports = { id, linkPort: transport.linkPort, callPort: calls.callPort };
+  answerParent(ports, async (question) => {
+    if (question.kind === 'members') decisions.setMember(makeRow(question.members[0] ?? ports));
+  });
+};
+
+start().catch((error: unknown) => {
+  console.error(error);
+  process.exit(1);
+});
