Test distribution and membership against a table of faults

Cause: the invariants have to hold under every fault at every step, and each mechanism has to be shown to carry its invariant. Change: 11 faults crossed with 7 steps on the paused clock, and six invariants with their mechanism replaced by one that does nothing. Register order and head order are now policies, so that a test can replace them. The peer picker returned one peer when asked for none; it returns none.

--- /dev/null
+++ b/packages/distribution/src/fault-table/steps.ts
@@ -0,0 +1,87 @@
+import { LinkRequestKind, RegisterKind } from '@sequoiafield/types';
+import { bodiesOf, type TestFleet } from '../test-fleet/test-fleet.js';
+
+/** A step of the work at which a fault begins. */
+export interface Step {
+  readonly name: string;
+  /** Makes the step happen and calls `reached` once with the number of the node it happens at. */
+  provoke(fleet: TestFleet, reached: (victim: number) => void): Promise<void> | void;
+}
+
+const numberOf = (id: string): number => Number(id.slice(id.lastIndexOf('-') + 1));
+
+const accept = (fleet: TestFleet): void => fleet.store.accept(2, bodiesOf(2));
+
+const onRequest = (kind: LinkRequestKind): Step['provoke'] => {
+  const provoke: Step['provoke'] = (fleet, reached) => {
+    const { network } = fleet;
+    network.onRequest = (fromId, sentKind) => {
+      if (sentKind === kind) reached(numberOf(fromId));
+    };
+    accept(fleet);
+  };
+  return provoke;
+};
+
+/** Every step of the table. */
+export const steps: readonly Step[] = [
+  {
+    name: 'head seen',
+    provoke: (fleet, reached) => {
+      const { store } = fleet;
+      store.onHeadRead = (head) => {
+        if (head?.configVersion === 2) reached(1);
+      };
+      accept(fleet);
+    },
+  },
+  {
+    name: 'push',
+    provoke: (fleet, reached) => {
+      fleet.nodes.forEach((node, index) => {
+        node.membership.registers.subscribe(RegisterKind.Head, (entry, fromId) => {
+          if (entry.rank === 2 && fromId !== node.self.id) reached(index + 1);
+        });
+      });
+      accept(fleet);
+    },
+  },
+  { name: 'fetch manifest', provoke: onRequest(LinkRequestKind.ManifestDelta) },
+  { name: 'fetch sections', provoke: onRequest(LinkRequestKind.Sections) },
+  {
+    name: 'swap',
+    provoke: (fleet, reached) => {
+      const watched = fleet;
+      watched.onInForce = (index, snapshot) => {
+        if (snapshot.configVersion === 2) reached(index);
+      };
+      accept(fleet);
+    },
+  },
+  {
+    name: 'join',
+    provoke: async (fleet, reached) => {
+      const joining = fleet.nodes.length;
+      const { network } = fleet;
+      network.onRequest = (fromId, kind) => {
+        if (kind === LinkRequestKind.MemberDigests && numberOf(fromId) === joining) {
+          reached(joining);
+        }
+      };
+      accept(fleet);
+      fleet.node(joining).kill();
+      await fleet.clock.advance(10);
+      await fleet.startNode(joining);
+    },
+  },
+  {
+    name: 'drain',
+    provoke: (fleet, reached) => {
+      accept(fleet);
+      const draining = fleet.nodes.length;
+      fleet.drained.add(fleet.node(draining).self.id);
+      fleet.node(draining).membership.announceDraining();
+      reached(1);
+    },
+  },
+];
--- a/packages/distribution/src/snapshot-holder.ts
+++ b/packages/distribution/src/snapshot-holder.ts
@@ -26,7 +26,7 @@
   }
 
   isBehind(head: HeadRecord): boolean {
-    return head.configVersion > this.version;
+    return this.guard.isNewer(this.version, head.configVersion);
   }
 
   onSwap(listener: SwapListener): void {
--- a/packages/distribution/src/strict-guard.ts
+++ b/packages/distribution/src/strict-guard.ts
@@ -12,10 +12,14 @@
 export class StrictGuard implements SnapshotGuard {
   constructor(private readonly checker: Pick<SectionChecker, 'checkReferences'>) {}
 
+  isNewer(currentVersion: number, headVersion: number): boolean {
+    return headVersion > currentVersion;
+  }
+
   mayReplace(current: Snapshot | undefined, candidate: Snapshot): boolean {
     if (!current) return true;
     if (candidate.configVersion !== current.configVersion) {
-      return candidate.configVersion > current.configVersion;
+      return this.isNewer(current.configVersion, candidate.configVersion);
     }
     // The same version may gain services that were asked for later, never lose any.
     const keepsAll = [...current.services.keys()].every((name) => candidate.services.has(name));
--- a/packages/distribution/src/test-fleet/fake-store.ts
+++ b/packages/distribution/src/test-fleet/fake-store.ts
@@ -45,6 +45,9 @@
 
   calls = 0;
 
+  /** Called with each head that a node reads. */
+  onHeadRead: (head: HeadRecord | undefined) => void = () => undefined;
+
   head: HeadRecord | undefined;
 
   readonly manifests = new Map<string, Manifest>();
@@ -69,7 +72,10 @@
   }
 
   readHead(): Promise<{ record: HeadRecord } | undefined> {
-    return this.#call(() => this.head && { record: this.head });
+    return this.#call(() => {
+      this.onHeadRead(this.head);
+      return this.head && { record: this.head };
+    });
   }
 
   readManifest(digest: string): Promise<Manifest> {
--- a/packages/distribution/src/test-fleet/test-fleet.ts
+++ b/packages/distribution/src/test-fleet/test-fleet.ts
@@ -1,4 +1,5 @@
 import { SeededRandom } from '@sequoiafield/tables';
+import type { Snapshot } from '@sequoiafield/types';
 import { FakeNetwork, pauseClock, type PausedClock } from '@sequoiafield/test-kit';
 import { FakeStore, serviceBody } from './fake-store.js';
 import { addressOf, TestNode, type Mechanisms } from './test-node.js';
@@ -22,6 +23,15 @@
 
   readonly nodes: TestNode[] = [];
 
+  /** Ids of nodes that announced draining. */
+  readonly drained = new Set<string>();
+
+  /** Highest version that each instance was seen serving. */
+  readonly servedVersions = new Map<string, number>();
+
+  /** Called after each swap with the number of the node. */
+  onInForce: (index: number, snapshot: Snapshot) => void = () => undefined;
+
   constructor(
     private readonly seed: number,
     private readonly mechanisms: Mechanisms = {},
@@ -41,7 +51,15 @@
   async startNode(index: number): Promise<TestNode> {
     const seeds = (): TestNode['self'][] =>
       this.nodes.filter((node) => node.self.address !== addressOf(index)).map((node) => node.self);
-    const node = new TestNode(index, this.seed, this.network, this.store, seeds, this.mechanisms);
+    const node = new TestNode(
+      index,
+      this.seed,
+      this.network,
+      this.store,
+      seeds,
+      this.mechanisms,
+      (snapshot) => this.onInForce(index, snapshot),
+    );
     await node.start(seeds().slice(0, 5));
     this.nodes[index - 1] = node;
     return node;
--- a/packages/distribution/src/test-fleet/test-node.ts
+++ b/packages/distribution/src/test-fleet/test-node.ts
@@ -1,4 +1,4 @@
-import { SilentLogger } from '@sequoiafield/logger';
+import { logEvents, type Logger } from '@sequoiafield/logger';
 import {
   createMembership,
   type Membership,
@@ -34,6 +34,9 @@
 
   readonly snapshots: Snapshot[] = [];
 
+  /** Members that this node declared dead, in order. */
+  readonly evictions: string[] = [];
+
   readonly #loop: TickLoop;
 
   constructor(
@@ -43,6 +46,7 @@
     store: FakeStore,
     seeds: () => readonly MemberAnnouncement[],
     mechanisms: Mechanisms,
+    onInForce: (snapshot: Snapshot) => void,
   ) {
     const dataCentre = `dc-${index % 3}`;
     this.self = {
@@ -58,7 +62,11 @@
       backendVersion: 'v1',
     };
     const random = new SeededRandom(seed * 1000 + index);
-    const logger = new SilentLogger();
+    const logger: Logger = {
+      log: (event, fields) => {
+        if (event === logEvents.memberDead) this.evictions.push(String(fields?.memberId));
+      },
+    };
     const links = network.links(this.self.address, this.self.id);
     this.membership = createMembership({
       self: this.self,
@@ -86,6 +94,7 @@
         this.versions.push(snapshot.configVersion);
         this.snapshots.push(snapshot);
         this.membership.announceConfigVersion();
+        onInForce(snapshot);
       },
     });
     const systems = [...this.membership.systems, ...this.distribution.systems];
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -109,7 +109,7 @@
   const suspicions = new Suspicions(members, suspicionPolicy, logger);
   let gossip: Gossip | undefined;
   let joiner: Joiner | undefined;
-  const registers = new RegisterTable(self.id, (entry) => gossip?.spreadRegister(entry));
+  const registers = new RegisterTable(self.id, policy, (entry) => gossip?.spreadRegister(entry));
   gossip = new Gossip({
     members,
     registers,
--- a/packages/membership/src/peer-picker.ts
+++ b/packages/membership/src/peer-picker.ts
@@ -23,7 +23,7 @@
     excluded: ReadonlySet<string> = new Set(),
   ): readonly GossipRow[] {
     const picked = new Map<string, GossipRow>();
-    if (isSpread) {
+    if (isSpread && count > 0) {
       const distant = this.#pickOne(
         (row) => this.#isPeer(row, excluded) && row.dataCentre !== this.members.self.dataCentre,
       );
--- a/packages/membership/src/policies.ts
+++ b/packages/membership/src/policies.ts
@@ -1,3 +1,5 @@
+import type { RegisterEntry } from '@sequoiafield/types';
+
 /** When suspicion of a member becomes its death; tests replace it to show what it prevents. */
 export interface SuspicionPolicy {
   /** Members asked to probe a silent one indirectly. */
@@ -14,6 +16,8 @@
   readonly pushFanOut: number;
   /** Whether probes and acks compare registers and repair what a push missed. */
   readonly isRepairing: boolean;
+  /** Whether an entry heard for a register replaces the known one. */
+  replaces(known: RegisterEntry | undefined, heard: RegisterEntry): boolean;
   /** Times that a node sends one rumour. */
   sendLimit(fleetSize: number): number;
 }
--- a/packages/membership/src/push-and-repair.ts
+++ b/packages/membership/src/push-and-repair.ts
@@ -1,3 +1,4 @@
+import type { RegisterEntry } from '@sequoiafield/types';
 import type { SpreadPolicy } from './policies.js';
 
 /** Push to 4 peers at first sight, repaired by digests. */
@@ -6,6 +7,10 @@
 
   readonly isRepairing = true;
 
+  replaces(known: RegisterEntry | undefined, heard: RegisterEntry): boolean {
+    return !known || heard.rank > known.rank;
+  }
+
   sendLimit(fleetSize: number): number {
     return Math.ceil(Math.log2(fleetSize + 1)) + 2;
   }
--- a/packages/membership/src/register-table.ts
+++ b/packages/membership/src/register-table.ts
@@ -1,5 +1,6 @@
 import { RegisterKind, type RegisterEntry, type RegisterGossip } from '@sequoiafield/types';
 import { hashText } from './hash.js';
+import type { SpreadPolicy } from './policies.js';
 
 type RegisterHandler = (entry: RegisterEntry, fromId: string) => void;
 
@@ -15,7 +16,7 @@
  * Monotone registers: an entry replaces another only by a higher rank.
  *
  * @example
- * const registers = new RegisterTable('node-1', (entry) => push(entry));
+ * const registers = new RegisterTable('node-1', new PushAndRepair(), (entry) => push(entry));
  * registers.publish({ kind: RegisterKind.Head, key: 'head', rank: 7, body });
  */
 export class RegisterTable implements RegisterGossip {
@@ -27,6 +28,7 @@
 
   constructor(
     private readonly selfId: string,
+    private readonly policy: Pick<SpreadPolicy, 'replaces'>,
     private readonly spread: (entry: RegisterEntry) => void,
   ) {}
 
@@ -61,7 +63,7 @@
   raise(entry: RegisterEntry, fromId: string): boolean {
     const id = registerId(entry.kind, entry.key);
     const known = this.#entries.get(id);
-    if (known && known.rank >= entry.rank) return false;
+    if (!this.policy.replaces(known, entry)) return false;
     if (known) this.#hash ^= entryHash(known);
     this.#hash ^= entryHash(entry);
     this.#entries.set(id, entry);
