Test joins, floors, drains and the gossip tables

Cause: joins, the join floor, the stale view, refutation and the byte budget were covered by the fault table only as a whole. Change: tests for each, with properties under fixed seeds; a node that is still fetching now lets section requests wait, as it did for manifests, so that peers do not fall back to the store; store reads of sections run eight at a time.

--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -79,7 +79,7 @@
   const freshness = new Freshness(options.lastRefreshedAtMs);
   let follower: HeadFollower | undefined;
   const exchange = new PeerExchange(links, cache, {
-    ended: async (digest, timeoutMs) => follower?.ended(digest, timeoutMs),
+    ended: async (timeoutMs) => follower?.ended(timeoutMs),
   });
   const fetcher = new SnapshotFetcher({
     members,
--- a/packages/distribution/src/head-follower.ts
+++ b/packages/distribution/src/head-follower.ts
@@ -50,7 +50,9 @@
 
   #isExtending = false;
 
-  #waiting: { digest: string; resolve: () => void }[] = [];
+  #isFetching = false;
+
+  #waiting: (() => void)[] = [];
 
   constructor(private readonly parts: FollowerParts) {
     parts.registers.subscribe(RegisterKind.Head, (entry, fromId) => this.#onHead(entry, fromId));
@@ -76,13 +78,10 @@
     this.#isStopped = true;
   }
 
-  async ended(manifestDigest: string, timeoutMs: number): Promise<void> {
-    const head = this.#head;
-    if (!head || head.manifestDigest !== manifestDigest || !this.parts.holder.isBehind(head)) {
-      return;
-    }
+  async ended(timeoutMs: number): Promise<void> {
+    if (!this.#isFetching) return;
     const end = new Promise<void>((resolve) => {
-      this.#waiting.push({ digest: manifestDigest, resolve });
+      this.#waiting.push(resolve);
     });
     await Promise.race([end, sleep(timeoutMs)]);
   }
@@ -123,6 +122,7 @@
 
   async #followOnce(head: HeadRecord): Promise<boolean> {
     const { holder, cache, fetcher, logger } = this.parts;
+    this.#isFetching = true;
     const wasExtending = this.#isExtending;
     this.#isExtending = false;
     try {
@@ -144,7 +144,8 @@
       this.#isExtending ||= wasExtending;
       return false;
     } finally {
-      this.#release(head.manifestDigest);
+      this.#isFetching = false;
+      for (const resolve of this.#waiting.splice(0)) resolve();
     }
   }
 
@@ -154,10 +155,4 @@
     const isStoreFirst = senderId === undefined && isNew && this.parts.holder.isBehind(head);
     return { senderId, isStoreFirst };
   }
-
-  #release(digest: string): void {
-    const done = this.#waiting.filter((waiter) => waiter.digest === digest);
-    this.#waiting = this.#waiting.filter((waiter) => waiter.digest !== digest);
-    for (const waiter of done) waiter.resolve();
-  }
 }
--- /dev/null
+++ b/packages/distribution/src/join-floor.test.ts
@@ -0,0 +1,108 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SeededRandom } from '@sequoiafield/tables';
+import { matchSnapshot } from '@sequoiafield/test-kit';
+import fc from 'fast-check';
+import { TestFleet, bodiesOf } from './test-fleet/test-fleet.js';
+import { burstDelayMs, pollDelayMs } from './timing.js';
+
+test('a restarted node serves only once it knows its floor', async () => {
+  // Guards against a restarted node that serves an older version than it or its peers had.
+  const results: Record<string, string> = {};
+  const run = async (name: string, reachable: readonly number[], isStoreDown: boolean) => {
+    const fleet = new TestFleet(5);
+    try {
+      await fleet.start(7);
+      fleet.store.accept(2, bodiesOf(2));
+      await fleet.clock.advance(3000);
+      fleet.node(7).kill();
+      fleet.store.isDown = isStoreDown;
+      const unreachable = fleet.nodes.filter(
+        (node, index) => index < 6 && !reachable.includes(index + 1),
+      );
+      fleet.partition([fleet.node(7)], unreachable);
+      const node = await fleet.startNode(7);
+      await fleet.clock.advance(15_000, 20);
+      const floor = node.distribution.floor() ?? 'unknown';
+      const isServing = node.distribution.view.isServing() ? 'serves' : 'does not serve';
+      results[name] = `floor ${floor}, ${isServing}`;
+    } finally {
+      fleet.stop();
+    }
+  };
+  const all = [1, 2, 3, 4, 5, 6];
+  await run('store up', all, false);
+  await run('store up, no peer', [], false);
+  await run('store down, all peers', all, true);
+  await run('store down, 3 peers in 3 data centres', [1, 2, 3], true);
+  await run('store down, 2 peers in 1 data centre', [3, 6], true);
+  await run('store down, 2 peers in 2 data centres', [1, 2], true);
+  await run('store down, no peer', [], true);
+  matchSnapshot(import.meta.filename, 'floor of a restarted node', results);
+});
+
+test('a paused node refuses until an exchange after the pause refreshed its view', async () => {
+  // Guards against calls that are routed by a view from before a pause.
+  const fleet = new TestFleet(6);
+  try {
+    await fleet.start(5);
+    const { distribution } = fleet.node(3);
+    fleet.node(3).freeze();
+    await fleet.clock.advance(2500);
+    assert.equal(distribution.view.isServing(), false, 'before the first tick after the pause');
+    fleet.store.isDown = true;
+    fleet.node(3).thaw();
+    assert.equal(distribution.view.isServing(), false, 'after the first tick');
+    await fleet.clock.advance(2500);
+    assert.equal(distribution.view.isServing(), true, 'after a gossip exchange');
+  } finally {
+    fleet.stop();
+  }
+});
+
+test('sections come from peers and the store is read a few times only', async () => {
+  // Guards against a store load that grows with the fleet.
+  const fleet = new TestFleet(8);
+  try {
+    await fleet.start(12);
+    const before = fleet.nodes.map(({ distribution }) => ({ ...distribution.counters }));
+    fleet.store.accept(2, bodiesOf(2));
+    await fleet.clock.advance(3000);
+    const fromStore = fleet.nodes.map(
+      ({ distribution }, index) =>
+        distribution.counters.fromStore - (before[index]?.fromStore ?? 0),
+    );
+    // One manifest and three sections for each node that polled the new head at the same moment.
+    assert.ok(fromStore.filter((count) => count > 0).length <= 3, String(fromStore));
+    assert.ok(fleet.nodes.every(({ distribution }) => distribution.configVersion() === 2));
+  } finally {
+    fleet.stop();
+  }
+});
+
+test('head reads of the whole fleet stay near 20 per second', () => {
+  // Guards against a store load that grows with the fleet, also while the store is down.
+  const random = new SeededRandom(9);
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 10, max: 7700 }),
+      fc.integer({ min: 0, max: 9 }),
+      (size, failures) => {
+        const draws = 400;
+        let totalMs = 0;
+        for (let draw = 0; draw < draws; draw++) {
+          const delayMs = pollDelayMs(size, failures, random);
+          assert.ok(delayMs >= 500);
+          totalMs += delayMs;
+        }
+        const readsPerS = (size * draws * 1000) / totalMs;
+        assert.ok(
+          readsPerS <= 24,
+          `${readsPerS} reads/s of ${size} nodes after ${failures} failures`,
+        );
+        assert.ok(burstDelayMs(size, random) <= (size / 200) * 1000);
+      },
+    ),
+    { seed: 20261204, numRuns: 100 },
+  );
+});
--- a/packages/distribution/src/peer-exchange.ts
+++ b/packages/distribution/src/peer-exchange.ts
@@ -18,10 +18,10 @@
 /** Sections per answer, so that one answer stays under some 100 KB. */
 const sectionsPerRequest = 64;
 
-/** Says which digests a node is fetching, so that requests for them wait instead of failing. */
+/** Says when the fetch of a node ends, so that requests for its parts wait instead of failing. */
 export interface FetchProgress {
-  /** Resolves when the fetch of that manifest ended or after `timeoutMs`. */
-  ended(manifestDigest: string, timeoutMs: number): Promise<void>;
+  /** Resolves when the fetch that runs now ended, at once if none runs, or after `timeoutMs`. */
+  ended(timeoutMs: number): Promise<void>;
 }
 
 /**
@@ -73,13 +73,15 @@
 
   async #onManifest(request: DeltaRequest): Promise<ManifestDelta | null> {
     const digest = String(request.digest);
-    if (!this.cache.manifest(digest)) await this.progress.ended(digest, answerWaitMs);
+    if (!this.cache.manifest(digest)) await this.progress.ended(answerWaitMs);
     return this.cache.deltaFor(digest, Number(request.baseVersion)) ?? null;
   }
 
-  #onSections(body: unknown): Record<string, string> {
+  async #onSections(body: unknown): Promise<Record<string, string>> {
     const { digests } = body as { digests: unknown };
     if (!Array.isArray(digests)) throw failure('Sections request is malformed');
+    const isAllHeld = digests.every((digest) => this.cache.section(String(digest)));
+    if (!isAllHeld) await this.progress.ended(answerWaitMs);
     const held = digests.slice(0, sectionsPerRequest).flatMap((digest) => {
       const section = this.cache.section(String(digest));
       return section ? [[String(digest), section.body] as const] : [];
--- a/packages/distribution/src/snapshot-fetcher.ts
+++ b/packages/distribution/src/snapshot-fetcher.ts
@@ -49,6 +49,7 @@
 }
 
 const storeTimeoutMs = 3000;
+const parallelReads = 8;
 
 /**
  * Fetches manifest and sections, from peers first, and builds a checked snapshot.
@@ -126,20 +127,28 @@
       if (lacking().length === 0) return;
       await this.#awaitStoreTurn();
     }
-    for (const name of lacking()) {
-      const digest = manifest.sections[name] ?? '';
-      const read = this.parts.headSource.readSection(name, digest);
-      const stored = await withTimeout(read, storeTimeoutMs, 'Section read').catch(() => undefined);
-      if (stored) {
-        this.counters.fromStore += 1;
-        this.#accept(name, digest, stored.body);
-      }
-    }
+    await this.#sectionsFromStore(manifest, lacking());
     if (lacking().length > 0 && origin.isStoreFirst) {
       await this.#sectionsFromPeers(manifest, lacking, undefined);
     }
   }
 
+  async #sectionsFromStore(manifest: Manifest, names: readonly string[]): Promise<void> {
+    const left = [...names];
+    const readOneByOne = async (): Promise<void> => {
+      for (let name = left.pop(); name !== undefined; name = left.pop()) {
+        const digest = manifest.sections[name] ?? '';
+        const read = this.parts.headSource.readSection(name, digest);
+        const stored = await withTimeout(read, storeTimeoutMs, 'Section read').catch(() => null);
+        if (stored) {
+          this.counters.fromStore += 1;
+          this.#accept(name, digest, stored.body);
+        }
+      }
+    };
+    await Promise.all(Array.from({ length: parallelReads }, readOneByOne));
+  }
+
   async #sectionsFromPeers(
     manifest: Manifest,
     lacking: () => readonly string[],
--- a/packages/test-kit/src/fake-network.ts
+++ b/packages/test-kit/src/fake-network.ts
@@ -39,7 +39,7 @@
   readonly faults: NetworkFaults = { delayMs: 0, jitterMs: 0, duplicateShare: 0, lossShare: 0 };
 
   /** Called when a node sends a link request, before any fault applies. */
-  onRequest: (fromId: string, kind: LinkRequestKind) => void = () => undefined;
+  onRequest: (fromId: string, kind: LinkRequestKind, toId: string) => void = () => undefined;
 
   readonly #stations = new Map<string, Station>();
 
@@ -150,7 +150,7 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<unknown> {
-    this.onRequest(from.id, kind);
+    this.onRequest(from.id, kind, member.id);
     return new Promise((resolve, reject) => {
       setTimeout(() => reject(new Error(`No answer of ${member.id}`)), timeoutMs);
       this.#deliver(from, member.address, async (station) => {
