Add the benchmark of moves with a baseline policy

Cause: the handling of bad versions is what the users weigh most, so each change to it needs figures. Evidence is encoded once per exchange instead of once per receiver.

--- /dev/null
+++ b/packages/bench/src/moves/benchmark.ts
@@ -0,0 +1,130 @@
+import { MoveVerdict } from '@sequoiafield/types';
+import type { Benchmark, BenchmarkOptions, BenchmarkReport } from '../benchmark.js';
+import { moveCases, type MoveCase } from './cases.js';
+import { runJobs, type MoveJob } from './run-jobs.js';
+import type { MoveResult } from './run-move.js';
+
+interface CaseResult {
+  readonly moveCase: MoveCase;
+  readonly results: readonly MoveResult[];
+}
+
+interface Policy {
+  readonly name: string;
+  readonly isBaseline: boolean;
+}
+
+const columns = [
+  ...['policy', 'case', 'moves', 'done in time', 'taken back', 'open', 'wrong'],
+  ...['new calls % mean', 'new calls max', 'bad calls max', 'unproven share % max'],
+  ...['first bad to verdict s median', 'max', 'calls after verdict', 'last after verdict s'],
+];
+
+const moveMs = 600_000;
+
+const median = (values: readonly number[]): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+const highest = (values: readonly number[]): number => values.reduce((a, b) => Math.max(a, b), 0);
+const total = (values: readonly number[]): number => values.reduce((a, b) => a + b, 0);
+
+const isTakenBack = ({ verdict }: MoveResult): boolean => verdict === MoveVerdict.TakenBack;
+
+/** A good version that was taken back, or a bad one that is done. */
+const isWrong = (moveCase: MoveCase, result: MoveResult): boolean =>
+  moveCase.isBad ? result.verdict === MoveVerdict.Done : isTakenBack(result);
+
+const isDoneInTime = (result: MoveResult): boolean =>
+  result.verdict === MoveVerdict.Done && (result.decidedAfterMs ?? Infinity) <= moveMs;
+
+/** Moves of one policy, with seeds that no two cases share. */
+const listJobs = (isBaseline: boolean, options: BenchmarkOptions): MoveJob[] =>
+  moveCases.flatMap(({ moves }, caseIndex) =>
+    Array.from({ length: options.isQuick ? 1 : moves }, (_, index) => ({
+      ...{ caseIndex, isBaseline },
+      seed: options.seed * 1_000_000 + caseIndex * 1000 + index,
+    })),
+  );
+
+const runPolicy = async (policy: Policy, options: BenchmarkOptions): Promise<CaseResult[]> => {
+  const jobs = listJobs(policy.isBaseline, options);
+  const all = await runJobs(jobs);
+  return moveCases.map((moveCase, caseIndex) => {
+    const results = all.filter((_, index) => jobs[index]?.caseIndex === caseIndex);
+    results.forEach((result, index) => {
+      const isOpen = result.verdict === MoveVerdict.Undecided;
+      if (!isOpen && !isWrong(moveCase, result)) return;
+      const { verdict, reason } = result;
+      console.error(`${policy.name}: ${moveCase.name} #${index}: ${verdict}, ${reason}`);
+    });
+    return { moveCase, results };
+  });
+};
+
+const describe = (policy: Policy, { moveCase, results }: CaseResult): (string | number)[] => {
+  const delays = results
+    .map(({ firstBadToTakenBackMs }) => firstBadToTakenBackMs)
+    .filter((delayMs) => delayMs !== undefined);
+  const shares = results.map(({ newCalls, calls }) => (100 * newCalls) / Math.max(1, calls));
+  return [
+    ...[policy.name, moveCase.name, results.length, results.filter(isDoneInTime).length],
+    results.filter(isTakenBack).length,
+    results.filter(({ verdict }) => verdict === MoveVerdict.Undecided).length,
+    results.filter((result) => isWrong(moveCase, result)).length,
+    (total(shares) / shares.length).toFixed(2),
+    highest(results.map(({ newCalls }) => newCalls)),
+    moveCase.isBad ? highest(results.map(({ badCalls }) => badCalls)) : '',
+    highest(results.map(({ unprovenSharePercent }) => unprovenSharePercent)).toFixed(2),
+    moveCase.isBad ? (median(delays) / 1000).toFixed(1) : '',
+    moveCase.isBad ? (highest(delays) / 1000).toFixed(1) : '',
+    total(results.map(({ callsAfterVerdict }) => callsAfterVerdict)),
+    highest(results.map(({ lastCallAfterVerdictMs }) => lastCallAfterVerdictMs)) / 1000,
+  ];
+};
+
+const summarize = (cases: readonly CaseResult[], prefix: string): BenchmarkReport['figures'] => {
+  const good = cases.filter(({ moveCase }) => !moveCase.isBad).flatMap(({ results }) => results);
+  const bad = cases.filter(({ moveCase }) => moveCase.isBad).flatMap(({ results }) => results);
+  const all = [...good, ...bad];
+  const figures: Record<string, number> = {
+    moves: all.length,
+    goodMoves: good.length,
+    goodDoneInTime: good.filter(isDoneInTime).length,
+    goodTakenBack: good.filter(isTakenBack).length,
+    badMoves: bad.length,
+    badTakenBack: bad.filter(isTakenBack).length,
+    badDone: bad.filter(({ verdict }) => verdict === MoveVerdict.Done).length,
+    badCallsBeforeVerdict: total(bad.map(({ badCalls }) => badCalls)),
+    unprovenShareMaxPercent: highest(all.map(({ unprovenSharePercent }) => unprovenSharePercent)),
+    lastCallAfterVerdictMaxS:
+      highest(all.map(({ lastCallAfterVerdictMs }) => lastCallAfterVerdictMs)) / 1000,
+    // With 0 of n seen, the true rate is below 3 / n at 95 % confidence.
+    goodTakenBackUpper95Percent: good.filter(isTakenBack).length === 0 ? 300 / good.length : NaN,
+    badMissedUpper95Percent: bad.every(isTakenBack) ? 300 / bad.length : NaN,
+  };
+  return Object.fromEntries(
+    Object.entries(figures).map(([name, value]) => [`${prefix}${name}`, value]),
+  );
+};
+
+/** Benchmark `moves`: seeded moves of good and bad versions in process on an advanced clock. */
+export const movesBenchmark: Benchmark = {
+  name: 'moves',
+  description: 'Good and bad backend versions: done in time, taken back, exposure, false verdicts.',
+  run: async (options: BenchmarkOptions): Promise<BenchmarkReport> => {
+    const policies: Policy[] = [{ name: 'sequential', isBaseline: false }];
+    if (options.hasBaseline) policies.push({ name: 'baseline', isBaseline: true });
+    const runs: { policy: Policy; cases: CaseResult[] }[] = [];
+    for (const policy of policies) runs.push({ policy, cases: await runPolicy(policy, options) });
+    return {
+      name: 'moves',
+      columns,
+      rows: runs.flatMap(({ policy, cases }) => cases.map((result) => describe(policy, result))),
+      figures: Object.assign(
+        {},
+        ...runs.map(({ policy, cases }) =>
+          summarize(cases, policy.name === 'baseline' ? 'baseline.' : ''),
+        ),
+      ) as BenchmarkReport['figures'],
+    };
+  },
+};
--- /dev/null
+++ b/packages/bench/src/moves/run-jobs.ts
@@ -0,0 +1,54 @@
+import { fork } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import type { MoveResult } from './run-move.js';
+
+/** Processes that run moves; few, since the machine is shared. */
+const workerCount = 3;
+
+/** One move to run. */
+export interface MoveJob {
+  readonly caseIndex: number;
+  readonly seed: number;
+  readonly isBaseline: boolean;
+}
+
+const runWorker = (
+  jobs: readonly MoveJob[],
+  takeIndex: () => number | undefined,
+  results: MoveResult[],
+): Promise<void> =>
+  new Promise((resolve, reject) => {
+    const worker = fork(fileURLToPath(new URL('./worker.ts', import.meta.url)));
+    let index: number | undefined;
+    const next = (): void => {
+      index = takeIndex();
+      const job = index === undefined ? undefined : jobs[index];
+      if (job) worker.send(job);
+      else worker.disconnect();
+    };
+    worker.on('error', reject);
+    worker.on('exit', (code) => {
+      if (code === 0) resolve();
+      else reject(new Error(`A worker of the benchmark ended with status ${code}`));
+    });
+    worker.on('message', (result: MoveResult) => {
+      if (index !== undefined) Object.assign(results, { [index]: result });
+      next();
+    });
+    next();
+  });
+
+/**
+ * Runs moves in a few processes and returns their results in the order of the jobs. Rejects with the
+ * first error of a process.
+ *
+ * @example
+ * const results = await runJobs([{ caseIndex: 0, seed: 1, isBaseline: false }]);
+ */
+export const runJobs = async (jobs: readonly MoveJob[]): Promise<MoveResult[]> => {
+  const results: MoveResult[] = [];
+  const order = jobs.map((_, index) => index);
+  const takeIndex = (): number | undefined => order.shift();
+  await Promise.all(Array.from({ length: workerCount }, () => runWorker(jobs, takeIndex, results)));
+  return results;
+};
--- /dev/null
+++ b/packages/bench/src/moves/worker.ts
@@ -0,0 +1,11 @@
+import { baselineParts } from './baseline.js';
+import { moveCases } from './cases.js';
+import type { MoveJob } from './run-jobs.js';
+import { runMove } from './run-move.js';
+
+// Runs one move for each message of the parent process; ends when the parent disconnects.
+process.on('message', ({ caseIndex, seed, isBaseline }: MoveJob) => {
+  const moveCase = moveCases[caseIndex];
+  if (!moveCase) throw new RangeError(`Case ${caseIndex} does not exist`);
+  process.send?.(runMove(moveCase, seed, isBaseline ? baselineParts : {}));
+});
--- a/packages/rollout/src/evidence-exchange.ts
+++ b/packages/rollout/src/evidence-exchange.ts
@@ -101,14 +101,12 @@
     const other = others[this.random.below(others.length)];
     const receivers = [...judges, ...(other ? [other.id] : [])].filter((id) => id !== this.selfId);
     const ownRows = this.#freshFirst(this.#ownRows(move));
-    receivers.forEach((id) =>
-      this.#send(id, DirectMessageKind.Evidence, move, ownRows, messageBytes),
-    );
+    this.#send(receivers, DirectMessageKind.Evidence, move, ownRows, messageBytes);
     if (!judges.includes(this.selfId)) return;
     const receiver = receivers[this.random.below(receivers.length)];
     if (receiver === undefined) return;
     const allRows = this.#inTurn([...move.evidence.rows()], passedOnRowsPerTurn);
-    this.#send(receiver, DirectMessageKind.Evidence, move, allRows, messageMaxBytes);
+    this.#send([receiver], DirectMessageKind.Evidence, move, allRows, messageMaxBytes);
   }
 
   #sendAsCaller(move: MoveState, nowMs: number): void {
@@ -117,9 +115,8 @@
         row.source === EvidenceSource.Unanswered && nowMs - row.changedAtMs <= callerRepeatMs,
     );
     if (rows.length === 0) return;
-    this.#judges(move).forEach((id) =>
-      this.#send(id, DirectMessageKind.CallerEvidence, move, rows, messageMinBytes * 2),
-    );
+    const kind = DirectMessageKind.CallerEvidence;
+    this.#send(this.#judges(move), kind, move, rows, messageMinBytes * 2);
   }
 
   #ownRows(move: MoveState): EvidenceRow[] {
@@ -140,14 +137,15 @@
   }
 
   #send(
-    memberId: string,
+    memberIds: readonly string[],
     kind: DirectMessageKind,
     move: MoveState,
     rows: readonly EvidenceRow[],
     messageBytes: number,
   ): void {
     const { id, toVersion } = move.intent;
-    this.messenger.send(memberId, kind, encodeEvidence(id, toVersion, rows, messageBytes));
+    const message = encodeEvidence(id, toVersion, rows, messageBytes);
+    memberIds.forEach((memberId) => this.messenger.send(memberId, kind, message));
   }
 
   #receive(body: unknown, fromId?: string): void {
--- a/packages/rollout/src/evidence-message.ts
+++ b/packages/rollout/src/evidence-message.ts
@@ -30,8 +30,16 @@
 const isCount = (value: unknown): value is number =>
   typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
 
-const encodeBuckets = (buckets: readonly number[]): number[] =>
-  buckets.flatMap((count, index) => (count > 0 ? [index, count] : []));
+const encodeBuckets = (buckets: readonly number[]): number[] => {
+  const pairs: number[] = [];
+  buckets.forEach((count, index) => {
+    if (count > 0) pairs.push(index, count);
+  });
+  return pairs;
+};
+
+/** Upper bound of what `msgpackr` writes for a row with counts below 2^32. */
+const wireBytes = (wire: WireRow): number => wire[0].length + 36 + 3 * wire[7].length;
 
 const encodeRow = (row: EvidenceRow): WireRow => [
   row.route,
@@ -45,8 +53,7 @@
 ];
 
 /**
- * Packs rows in the given order until the byte budget is spent. Sizes are those of JSON, an upper
- * bound of what `msgpackr` writes.
+ * Packs rows in the given order until the byte budget is spent.
  *
  * @example
  * const message = encodeEvidence('settlement-v2', 'v2', rows, 1100);
@@ -64,7 +71,7 @@
     const groupId = `${row.reporterId}\n${row.incarnation}`;
     const group = groups.get(groupId);
     const groupBytes = group ? 0 : row.reporterId.length + row.dataCentre.length + 24;
-    const bytes = JSON.stringify(wire).length + 1 + groupBytes;
+    const bytes = wireBytes(wire) + groupBytes;
     if (usedBytes + bytes > budgetBytes) break;
     usedBytes += bytes;
     if (group) group[3].push(wire);
--- a/packages/rollout/src/fakes/fake-mesh.ts
+++ b/packages/rollout/src/fakes/fake-mesh.ts
@@ -19,6 +19,8 @@
 
 /** Time after which members that cannot be reached are called dead. */
 const deadAfterMs = 4000;
+/** Nodes to which a new register entry is pushed. */
+const pushFanOut = 4;
 /** Delay of a message without faults. */
 const usualDelayMs = 5;
 
@@ -40,6 +42,9 @@
 
   network: FakeNetwork = () => [usualDelayMs];
 
+  /** Switches on `sentBytes`. */
+  isCountingBytes = false;
+
   /** Bytes sent as JSON, by node. */
   readonly sentBytes = new Map<string, number>();
 
@@ -107,15 +112,16 @@
     return rows;
   }
 
+  /** Pushes an entry to a few random nodes, as gossip does; the others get it on repair. */
   pushRegister(fromId: string, entry: RegisterEntry): void {
-    this.#nodes.forEach((node) => {
-      if (node.id === fromId) return;
-      this.deliver(fromId, node.id, 0, (receiver) => receiver.accept(entry, fromId));
-    });
+    const ids = [...this.#nodes.keys()].filter((id) => id !== fromId);
+    for (let copies = 0; copies < pushFanOut && ids.length > 0; copies += 1) {
+      const [id = ''] = ids.splice(this.random.below(ids.length), 1);
+      this.deliver(fromId, id, (receiver) => receiver.accept(entry, fromId));
+    }
   }
 
-  deliver(fromId: string, toId: string, bytes: number, run: (node: FakeNode) => void): void {
-    this.sentBytes.set(fromId, (this.sentBytes.get(fromId) ?? 0) + bytes);
+  deliver(fromId: string, toId: string, run: (node: FakeNode) => void): void {
     const from = this.#nodes.get(fromId);
     const to = this.#nodes.get(toId);
     if (!from || !to || this.#isCut(from, to)) return;
--- a/packages/rollout/src/fakes/fake-node.ts
+++ b/packages/rollout/src/fakes/fake-node.ts
@@ -127,9 +127,11 @@
   }
 
   send(memberId: string, kind: DirectMessageKind, body: unknown): void {
-    this.mesh.deliver(this.id, memberId, JSON.stringify(body).length, (node) =>
-      node.receive(kind, body, this.id),
-    );
+    if (this.mesh.isCountingBytes) {
+      const bytes = JSON.stringify(body).length;
+      this.mesh.sentBytes.set(this.id, (this.mesh.sentBytes.get(this.id) ?? 0) + bytes);
+    }
+    this.mesh.deliver(this.id, memberId, (node) => node.receive(kind, body, this.id));
   }
 
   receive(kind: DirectMessageKind, body: unknown, fromId: string): void {
--- a/packages/rollout/src/fakes/fake-traffic.ts
+++ b/packages/rollout/src/fakes/fake-traffic.ts
@@ -31,14 +31,12 @@
   /** Version whose calls the ledger counts. */
   readonly watchedVersion: string;
   run(call: FakeCall): FakeOutcome;
+  /** Whether an outcome is bad for the caller; failed and hung calls if left out. */
+  readonly isBad?: (outcome: FakeOutcome) => boolean | undefined;
 }
 
-/** One second of the ledger. */
-export interface LedgerSecond {
-  calls: number;
-  watchedCalls: number;
-  watchedBad: number;
-}
+/** Stages at which a version counts as unproven. */
+const unprovenStages = 3;
 
 /** Number of calls in a tick by Knuth's method, in pieces that keep the product representable. */
 const poisson = (mean: number, random: RandomSource): number => {
@@ -59,7 +57,17 @@
  * mesh.advance(600_000, () => traffic.tick());
  */
 export class FakeTraffic {
-  readonly seconds: LedgerSecond[] = [];
+  calls = 0;
+
+  /** Calls to the watched version. */
+  watchedCalls = 0;
+
+  watchedBad = 0;
+
+  /** Calls whose caller knew the version as unproven, and those of them to the watched version. */
+  unprovenCalls = 0;
+
+  unprovenWatchedCalls = 0;
 
   /** Time of the first bad call of the watched version; undefined before it. */
   firstBadAtMs: number | undefined;
@@ -88,13 +96,13 @@
     if (version === undefined || !callee?.view.isAllowed(service, version)) return;
     const route = routes[random.below(routes.length)] ?? '';
     const { dataCentre } = callee.options;
-    const { sharePercent } = caller.view.statuses()[0] ?? { sharePercent: 0 };
+    const { sharePercent = 0, provenStage = 0 } = caller.view.statuses()[0] ?? {};
     const outcome = this.options.run({
       ...{ service, route, backendVersion: version, dataCentre, nowMs, sharePercent, random },
     });
     if (outcome.isHung) caller.recorder.recordUnanswered(service, route, version);
     else callee.recorder.recordEnded({ service, route, backendVersion: version, ...outcome });
-    this.#count(version, outcome);
+    this.#count(version, outcome, provenStage < unprovenStages);
   }
 
   /** Two in three calls stay in the caller's data centre if the version is there. */
@@ -109,19 +117,15 @@
     return chosen[random.below(chosen.length)];
   }
 
-  #count(version: string, outcome: FakeOutcome): void {
-    const second = Math.floor(this.mesh.nowMs / 1000);
-    while (this.seconds.length <= second) {
-      this.seconds.push({ calls: 0, watchedCalls: 0, watchedBad: 0 });
-    }
-    const ledger = this.seconds[second];
-    if (!ledger) return;
-    ledger.calls += 1;
-    if (version !== this.options.watchedVersion) return;
-    ledger.watchedCalls += 1;
-    const isBad = outcome.hasFailed || outcome.isHung === true;
-    if (!isBad) return;
-    ledger.watchedBad += 1;
+  #count(version: string, outcome: FakeOutcome, isUnproven: boolean): void {
+    const { watchedVersion, isBad = (ended) => ended.hasFailed || ended.isHung } = this.options;
+    this.calls += 1;
+    if (isUnproven) this.unprovenCalls += 1;
+    if (version !== watchedVersion) return;
+    this.watchedCalls += 1;
+    if (isUnproven) this.unprovenWatchedCalls += 1;
+    if (!isBad(outcome)) return;
+    this.watchedBad += 1;
     this.firstBadAtMs ??= this.mesh.nowMs;
   }
 }
--- a/packages/rollout/src/move.test.ts
+++ b/packages/rollout/src/move.test.ts
@@ -56,6 +56,5 @@
   // Guards against a bad version that keeps its traffic.
   const [status, traffic] = runMove(50, 0.5);
   assert.equal(status.verdict, MoveVerdict.TakenBack);
-  const bad = traffic.seconds.reduce((sum, second) => sum + second.watchedBad, 0);
-  assert.ok(bad <= 15, `${bad} bad calls`);
+  assert.ok(traffic.watchedBad <= 15, `${traffic.watchedBad} bad calls`);
 });
