--- a/packages/store/src/records.test.ts
+++ b/packages/store/src/records.test.ts
@@ -7,6 +7,7 @@
 
 const verdictOf = (verdict: MoveVerdict, nodeId: string): VerdictRecord => ({
   moveId: 'lager-v2',
+  service: 'lager',
   verdict,
   reason: `seen by ${nodeId}`,
   decidedAtUnixMs: 1,
