--- /dev/null
+++ b/packages/distribution/src/seeds-keeper.ts
@@ -0,0 +1,102 @@
+import { wallNowUnixMs, type RandomSource, type System, type Tick } from '@sequoiafield/tables';
+import {
+  MemberState,
+  type MemberRow,
+  type MemberView,
+  type Seed,
+  type SeedRecord,
+} from '@sequoiafield/types';
+import type { HeadSource } from './sources.js';
+import { withTimeout } from './timing.js';
+
+/** Seeds of one data centre. */
+const seedCount = 5;
+/** A record is written again when fewer of its members than this are still alive. */
+const minAliveSeeds = 3;
+const staleRecordMs = 10 * 60_000;
+/** Checks of all nodes of a data centre together come at this mean interval. */
+const checkIntervalMs = 5000;
+/** Spreads the first checks of a mass restart. */
+const firstCheckJitterMs = 2000;
+const storeTimeoutMs = 3000;
+
+/**
+ * Keeps the seeds record of the own data centre fresh with few reads and fewer writes.
+ *
+ * @example
+ * const keeper = new SeedsKeeper(source, members, random);
+ */
+export class SeedsKeeper implements System {
+  readonly name = 'seeds-keeper';
+
+  #nextAtMs: number | undefined;
+
+  #isBusy = false;
+
+  constructor(
+    private readonly source: HeadSource,
+    private readonly members: MemberView,
+    private readonly random: RandomSource,
+    private readonly onSeedsRead: (seeds: readonly Seed[]) => void = () => undefined,
+  ) {}
+
+  run(tick: Tick): void {
+    // The first nodes of a data centre must become findable soon.
+    this.#nextAtMs ??= tick.nowMs + this.random.next() * firstCheckJitterMs;
+    if (this.#isBusy || tick.nowMs < this.#nextAtMs) return;
+    this.#isBusy = true;
+    this.#check()
+      // A store that is down is retried with the next check.
+      .catch(() => undefined)
+      .finally(() => {
+        this.#isBusy = false;
+        this.#nextAtMs = tick.nowMs + this.#delayMs();
+      });
+  }
+
+  #delayMs(): number {
+    const size = Math.max(1, this.#aliveInOwnDataCentre().length);
+    return checkIntervalMs * size * -Math.log(1 - this.random.next());
+  }
+
+  #aliveInOwnDataCentre(): readonly MemberRow[] {
+    const self = this.members.get(this.members.selfId);
+    return [...this.members.all()].filter(
+      (row) => row.state === MemberState.Alive && row.dataCentre === self?.dataCentre,
+    );
+  }
+
+  async #check(): Promise<void> {
+    const dataCentre = this.members.get(this.members.selfId)?.dataCentre ?? '';
+    const alive = this.#aliveInOwnDataCentre();
+    if (alive.length === 0) return;
+    const read = this.source.readSeeds(dataCentre);
+    const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
+    if (stored) this.onSeedsRead(stored.record.seeds);
+    if (stored && !this.#isStale(stored.record, alive)) return;
+    const seeds = this.#choose(alive);
+    const record = { dataCentre, refreshedAtUnixMs: wallNowUnixMs(), seeds };
+    const write = this.source.writeSeeds(record, stored?.revision);
+    await withTimeout(write, storeTimeoutMs, 'Seeds write');
+  }
+
+  #isStale(record: SeedRecord, alive: readonly MemberRow[]): boolean {
+    const isOld = wallNowUnixMs() - record.refreshedAtUnixMs > staleRecordMs;
+    const rows = new Map(alive.map((row) => [row.id, row]));
+    const current = record.seeds.filter(({ id, address, gossipPort }) => {
+      const row = rows.get(id);
+      return row?.address === address && row.gossipPort === gossipPort;
+    });
+    return isOld || current.length < Math.min(minAliveSeeds, alive.length);
+  }
+
+  #choose(alive: readonly MemberRow[]): readonly Seed[] {
+    const left = [...alive];
+    const chosen: Seed[] = [];
+    while (chosen.length < seedCount && left.length > 0) {
+      const [row] = left.splice(this.random.below(left.length), 1);
+      if (row) chosen.push({ id: row.id, address: row.address, gossipPort: row.gossipPort });
+    }
+    return chosen;
+  }
+}
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -50,6 +50,7 @@
   LinkLost = 'link-lost',
   Cancelled = 'cancelled',
   BackendServerFailed = 'backend-server-failed',
+  BackendServerRefused = 'backend-server-refused',
 }
 
 /** Verdict on a move; `TakenBack` is final and spreads without the store. */
@@ -79,6 +80,7 @@
   MemberDigests = 3,
   MemberRows = 4,
   FleetQuery = 5,
+  JoinFloor = 6,
 }
 
 /** Kinds of fleet queries: questions that every node answers and that are merged on the way. */
