--- /dev/null
+++ b/packages/bench/src/evacuation/call-run.ts
@@ -0,0 +1,135 @@
+import { RefusalOutcome, type AdmissionResult, type CallOpen } from '@sequoiafield/types';
+import type { BenchNode } from './bench-node.js';
+import type { EventSchedule } from './event-schedule.js';
+import type { UserService } from './users.js';
+
+/** Attempts per call, the first included. */
+const attemptsMax = 3;
+const retryBudgetPercent = 20;
+
+/** What a call needs from the run. */
+export interface CallContext {
+  readonly schedule: EventSchedule;
+  readonly nodes: ReadonlyMap<string, BenchNode>;
+  /** One-way time between two data centres; within one it is a fifth. */
+  readonly betweenMs: number;
+}
+
+/**
+ * One call through the router of its entry node and the admission of the chosen one, with the
+ * retry rules of the call path: after "not run" within the budget, and never otherwise.
+ *
+ * @example
+ * new CallRun(context, entry, service, 'r-1', onEnd).start();
+ */
+export class CallRun {
+  readonly #tried = new Set<string>();
+
+  readonly #startedAtMs: number;
+
+  #isEnded = false;
+
+  constructor(
+    private readonly context: CallContext,
+    private readonly entry: BenchNode,
+    private readonly service: UserService,
+    private readonly sequence: number,
+    private readonly onEnd: (isAnswered: boolean, latencyMs: number) => void,
+  ) {
+    this.#startedAtMs = context.schedule.nowMs;
+  }
+
+  get #deadlineAtMs(): number {
+    return this.#startedAtMs + this.service.deadlineMs;
+  }
+
+  start(): void {
+    this.entry.routing.router.recordFirstAttempt(this.service.name);
+    this.context.schedule.after(this.service.deadlineMs, () => this.#end(false));
+    this.#attempt();
+  }
+
+  #attempt(): void {
+    const { router } = this.entry.routing;
+    const member = router.choose(this.service.name, 'v1', this.#tried);
+    const target = member && this.context.nodes.get(member.id);
+    if (!target) {
+      this.#end(false);
+      return;
+    }
+    router.begin(target.row.id);
+    const sentAtMs = this.context.schedule.nowMs;
+    this.#tried.add(target.row.id);
+    this.#travel(target, () => {
+      target.admission.admission
+        .admit(this.#open(target), this.#deadlineAtMs, new AbortController().signal)
+        .then((result) => this.#arrived(target, result, sentAtMs))
+        .catch((error: unknown) => {
+          throw error;
+        });
+    });
+  }
+
+  #arrived(target: BenchNode, result: AdmissionResult, sentAtMs: number): void {
+    const { router } = this.entry.routing;
+    const base = { memberId: target.row.id, service: this.service.name };
+    if (result.kind === 'refusal') {
+      const { reason, outcome, load } = result.refusal;
+      this.#travel(target, () => {
+        const latencyMs = this.context.schedule.nowMs - sentAtMs;
+        router.report({ ...base, hasFailed: true, latencyMs, refusalReason: reason, load });
+        const mayRetry = outcome === RefusalOutcome.NotRun && this.#tried.size < attemptsMax;
+        if (this.#isEnded) return;
+        if (mayRetry && router.takeRetry(this.service.name, retryBudgetPercent)) this.#attempt();
+        else this.#end(false);
+      });
+      return;
+    }
+    target.server.begin(`${this.service.name}-${this.sequence}`, (serverMs) => {
+      result.permit.release({ hasFailed: false, latencyMs: serverMs });
+      const load = target.admission.admission.load();
+      this.#travel(target, () => {
+        const latencyMs = this.context.schedule.nowMs - sentAtMs;
+        const hasFailed = this.context.schedule.nowMs > this.#deadlineAtMs;
+        router.report({ ...base, hasFailed, latencyMs, load });
+        this.#end(!hasFailed);
+      });
+    });
+  }
+
+  #end(isAnswered: boolean): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    this.onEnd(isAnswered, this.context.schedule.nowMs - this.#startedAtMs);
+  }
+
+  #travel(target: BenchNode, event: () => void): void {
+    const { betweenMs, schedule } = this.context;
+    const isSelf = target === this.entry;
+    const isNear = target.row.dataCentre === this.entry.row.dataCentre;
+    if (isSelf) event();
+    else schedule.after(isNear ? betweenMs / 5 : betweenMs, event);
+  }
+
+  #open(target: BenchNode): CallOpen {
+    return {
+      requestId: `${this.service.name}-${this.sequence}`,
+      attempt: {
+        senderId: this.entry.row.id,
+        senderIncarnation: 1,
+        sequence: this.sequence * attemptsMax + this.#tried.size,
+        receiverIncarnation: target.row.incarnation,
+      },
+      service: this.service.name,
+      route: this.service.name,
+      backendVersion: 'v1',
+      configVersion: 1,
+      priority: this.service.priority,
+      isIdempotent: this.service.isIdempotent,
+      deadlineAtMs: this.#deadlineAtMs,
+      method: this.service.isIdempotent ? 'GET' : 'POST',
+      path: '/',
+      headers: [],
+    };
+  }
+}
--- /dev/null
+++ b/packages/bench/src/evacuation/evacuation.ts
@@ -0,0 +1,92 @@
+import { Priority } from '@sequoiafield/types';
+import type { Benchmark, BenchmarkOptions, BenchmarkReport } from '../benchmark.js';
+import { EvacuationRun, type EvacuationResult, type Timeline } from './evacuation-run.js';
+import { baselinePolicy, productPolicy } from './policies.js';
+import type { Policy } from './policy.js';
+import { users, type User } from './users.js';
+
+const timeline: Timeline = {
+  measureFromMs: 8000,
+  outAtMs: 15_000,
+  stopAfterMs: 10_000,
+  backAtMs: 40_000,
+  endAtMs: 80_000,
+};
+const quickTimeline: Timeline = {
+  measureFromMs: 5000,
+  outAtMs: 6000,
+  stopAfterMs: 3000,
+  backAtMs: 10_000,
+  endAtMs: 15_000,
+};
+
+const columns = [
+  'user',
+  'policy',
+  'service',
+  'priority',
+  'offered',
+  'goodputPerS',
+  'failedCalls',
+  'failedAfterReturn',
+  'p50Ms',
+  'p99Ms',
+  'p99AfterReturnMs',
+] as const;
+
+const round = (value: number, digits = 2): number => Number(value.toFixed(digits));
+
+const describeServices = (
+  user: User,
+  policy: Policy,
+  result: EvacuationResult,
+  measuredMs: number,
+): (string | number)[][] =>
+  user.services.map(({ name, priority }) => {
+    const figures = result.services.get(name)!;
+    return [
+      user.name,
+      policy.name,
+      name,
+      Priority[priority].toLowerCase(),
+      figures.offered,
+      round((figures.answered * 1000) / measuredMs, 1),
+      figures.offered - figures.answered,
+      figures.failedAfterReturn,
+      round(figures.percentileMs(50)),
+      round(figures.percentileMs(99)),
+      round(figures.percentileAfterReturnMs(99)),
+    ];
+  });
+
+const run = async (options: BenchmarkOptions): Promise<BenchmarkReport> => {
+  const times = options.isQuick ? quickTimeline : timeline;
+  const policies = options.hasBaseline ? [productPolicy, baselinePolicy] : [productPolicy];
+  const rows: (string | number)[][] = [];
+  const figures: Record<string, number> = {};
+  for (const user of users) {
+    for (const policy of policies) {
+      const result = await new EvacuationRun(user, policy, times, options.seed).run();
+      const own = describeServices(user, policy, result, times.endAtMs - times.measureFromMs);
+      rows.push(...own);
+      const name = `${user.name}.${policy.name}`;
+      own.forEach((cells) => {
+        const fields = columns.slice(4).map((column, index) => [column, cells[index + 4]]);
+        fields.forEach(([column, value]) => {
+          figures[`${name}.${cells[2]}.${column}`] = Number(value);
+        });
+      });
+      figures[`${name}.lastNewRequestS`] = round(result.lastNewRequestS, 3);
+      figures[`${name}.doubledRequests`] = result.doubledRequests;
+      figures[`${name}.coldOverloadMax`] = round(result.coldOverloadMax);
+    }
+  }
+  return { name: 'evacuation', columns, rows, figures };
+};
+
+/** A data centre out and back under the load of both users; the schedule is not wall-clock time. */
+export const evacuation: Benchmark = {
+  name: 'evacuation',
+  description: 'A data centre leaves and comes back under load',
+  run,
+};
--- /dev/null
+++ b/packages/bench/src/evacuation/event-schedule.ts
@@ -0,0 +1,63 @@
+import { mock } from 'node:test';
+import { setMonotonicSource } from '@sequoiafield/tables';
+
+/** Resolution of the schedule. */
+const stepsPerMs = 10;
+/** Turns of the microtask queue after which every promise of one event has settled. */
+const microtaskTurns = 8;
+const startUnixMs = Date.UTC(2026, 0, 1);
+
+/**
+ * Events in the order of their time, with the monotonic and the wall clock of this process moved
+ * along. Promises settle between events.
+ *
+ * @example
+ * const schedule = new EventSchedule();
+ * schedule.after(5, () => answer());
+ * await schedule.run(1000);
+ * schedule.release();
+ */
+export class EventSchedule {
+  readonly #events = new Map<number, (() => void)[]>();
+
+  #step = 0;
+
+  constructor() {
+    mock.timers.enable({ apis: ['Date'], now: startUnixMs });
+    setMonotonicSource({ nowMs: () => this.nowMs });
+  }
+
+  get nowMs(): number {
+    return this.#step / stepsPerMs;
+  }
+
+  /** Wall-clock time of a point of the schedule. */
+  toUnixMs(atMs: number): number {
+    return startUnixMs + atMs;
+  }
+
+  after(delayMs: number, event: () => void): void {
+    const step = this.#step + Math.max(1, Math.round(delayMs * stepsPerMs));
+    const known = this.#events.get(step);
+    if (known) known.push(event);
+    else this.#events.set(step, [event]);
+  }
+
+  async run(untilMs: number): Promise<void> {
+    while (this.#step < untilMs * stepsPerMs) {
+      this.#step += 1;
+      if (this.#step % stepsPerMs === 0) mock.timers.setTime(startUnixMs + this.nowMs);
+      const events = this.#events.get(this.#step);
+      if (!events) continue;
+      this.#events.delete(this.#step);
+      events.forEach((event) => event());
+      for (let turn = 0; turn < microtaskTurns; turn += 1) await undefined;
+    }
+  }
+
+  /** Gives the clocks back. */
+  release(): void {
+    mock.timers.reset();
+    setMonotonicSource();
+  }
+}
