Add the benchmarks convergence and node-cost

Cause: convergence time, control bytes and the cost of a node have to be measured with real processes. Change: convergence starts 10 to 100 node processes on loopback with membership and distribution over a store stand-in; node-cost feeds one process the rows and churn of up to 7,700 members. Nodes whose seeds are all gone now form a fleet by the seeds of the store, and a probe names the member it is for.

--- a/packages/bench/src/catalogue.ts
+++ b/packages/bench/src/catalogue.ts
@@ -1,4 +1,8 @@
 import type { Benchmark } from './benchmark.js';
 
 /** Every benchmark by name; loaded on demand, so that one does not pay for the others. */
-export const benchmarkLoaders: Readonly<Record<string, () => Promise<Benchmark>>> = {};
+export const benchmarkLoaders: Readonly<Record<string, () => Promise<Benchmark>>> = {
+  convergence: async () =>
+    (await import('./convergence/convergence-benchmark.js')).convergenceBenchmark,
+  'node-cost': async () => (await import('./node-cost/node-cost-benchmark.js')).nodeCostBenchmark,
+};
--- a/packages/distribution/src/distribution.test.ts
+++ b/packages/distribution/src/distribution.test.ts
@@ -2,6 +2,28 @@
 import { test } from 'node:test';
 import { bodiesOf, TestFleet } from './test-fleet/test-fleet.js';
 
+test('nodes whose seeds are all gone find each other by the seeds of the store', async () => {
+  // Guards against a fleet that starts cold at new addresses and never forms.
+  const fleet = new TestFleet(2);
+  try {
+    const gone = { id: 'gone', address: '10.9.9.9', gossipPort: 7000 };
+    for (const dataCentre of ['dc-0', 'dc-1', 'dc-2']) {
+      const record = { dataCentre, refreshedAtUnixMs: Date.now(), seeds: [gone] };
+      fleet.store.seeds.set(dataCentre, { record, revision: 1 });
+    }
+    fleet.store.accept(1, bodiesOf(1));
+    for (let index = 1; index <= 6; index++) await fleet.startNode(index, [gone]);
+    await fleet.clock.advance(180_000, 50);
+    assert.deepEqual(
+      fleet.nodes.map((node) => node.membership.view.fleetSize()),
+      fleet.nodes.map(() => 6),
+    );
+    assert.ok(fleet.nodes.every((node) => node.distribution.view.isServing()));
+  } finally {
+    fleet.stop();
+  }
+});
+
 test('an accepted version comes into force on every node within seconds', async () => {
   // Guards against nodes that stay on an older version (invariant 12).
   const fleet = new TestFleet(1);
--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -5,6 +5,7 @@
   MemberAnnouncement,
   MemberView,
   RegisterGossip,
+  Seed,
   Snapshot,
   SnapshotView,
 } from '@sequoiafield/types';
@@ -41,6 +42,13 @@
   readonly seeds: () => readonly FloorSeed[];
   /** Called after each swap, for example with `Membership.announceConfigVersion`. */
   readonly onInForce?: (snapshot: Snapshot) => void;
+  /** Called with seeds of the store that are no members, for example with `Membership.greet`. */
+  readonly onUnknownSeeds?: (seeds: readonly Seed[]) => void;
+  /**
+   * Smallest fleet size to poll for. A node that has not found its fleet yet would otherwise poll
+   * as if it were alone, and a fleet that starts cold would overload the store.
+   */
+  readonly expectedFleetSize?: number;
   readonly guard?: SnapshotGuard;
 }
 
@@ -104,6 +112,7 @@
     ownVersion: () => holder.version,
   });
   const poller = new HeadPoller(headSource, members, random, logger, {
+    expectedFleetSize: options.expectedFleetSize ?? 1,
     onHead: (head, startedAtMs) => {
       floor.setFromStore(head?.configVersion ?? 0);
       freshness.refreshedByRead(startedAtMs);
@@ -112,6 +121,10 @@
     onFailure: () => floor.storeFailed(),
   });
   holder.onSwap((snapshot) => options.onInForce?.(snapshot));
+  const seeds = new SeedsKeeper(headSource, members, random, {
+    dataCentres: () => holder.current?.mesh.dataCentres.map(({ name }) => name) ?? [],
+    onUnknownSeeds: (unknown) => options.onUnknownSeeds?.(unknown),
+  });
   const view: SnapshotView = {
     current: () => holder.current,
     isServing: () =>
@@ -127,7 +140,7 @@
   };
   return {
     view,
-    systems: [freshness, poller, floor, new SeedsKeeper(headSource, members, random)],
+    systems: [freshness, poller, floor, seeds],
     counters: fetcher.counters,
     start: () => poller.start(),
     stop: () => {
--- a/packages/distribution/src/head-poller.ts
+++ b/packages/distribution/src/head-poller.ts
@@ -16,6 +16,7 @@
 
 /** What a poller tells its node. */
 export interface PollListener {
+  readonly expectedFleetSize: number;
   onHead(head: HeadRecord | undefined, startedAtMs: number): void;
   onFailure(): void;
 }
@@ -73,7 +74,8 @@
     this.#isBusy = true;
     this.#poll().finally(() => {
       this.#isBusy = false;
-      const delayMs = pollDelayMs(this.members.fleetSize(), this.#failures, this.random);
+      const fleetSize = Math.max(this.members.fleetSize(), this.listener.expectedFleetSize);
+      const delayMs = pollDelayMs(fleetSize, this.#failures, this.random);
       this.#nextAtMs = monotonicNowMs() + delayMs;
     });
   }
--- a/packages/distribution/src/seeds-keeper.ts
+++ b/packages/distribution/src/seeds-keeper.ts
@@ -16,13 +16,23 @@
 const staleRecordMs = 10 * 60_000;
 /** Checks of all nodes of a data centre together come at this mean interval. */
 const checkIntervalMs = 5000;
+/** Share of checks that also read the record of another data centre. */
+const abroadShare = 0.25;
 const storeTimeoutMs = 3000;
 
+/** What a keeper needs of its node. */
+export interface SeedsListener {
+  /** Names of the data centres in force; their records are read now and then. */
+  dataCentres(): readonly string[];
+  /** Called with seeds that are not among the members. */
+  onUnknownSeeds(seeds: readonly Seed[]): void;
+}
+
 /**
  * Keeps the seeds record of the own data centre fresh with few reads and fewer writes.
  *
  * @example
- * const keeper = new SeedsKeeper(source, members, random);
+ * const keeper = new SeedsKeeper(source, members, random, listener);
  */
 export class SeedsKeeper implements System {
   readonly name = 'seeds-keeper';
@@ -35,6 +45,7 @@
     private readonly source: HeadSource,
     private readonly members: MemberView,
     private readonly random: RandomSource,
+    private readonly listener: SeedsListener,
   ) {}
 
   run(tick: Tick): void {
@@ -68,6 +79,8 @@
     if (alive.length === 0) return;
     const read = this.source.readSeeds(dataCentre);
     const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
+    if (stored) this.#greetUnknown(stored.record);
+    await this.#lookAbroad(dataCentre);
     if (stored && !this.#isStale(stored.record, alive)) return;
     const seeds = this.#choose(alive);
     const record = { dataCentre, refreshedAtUnixMs: wallNowUnixMs(), seeds };
@@ -75,6 +88,22 @@
     await withTimeout(write, storeTimeoutMs, 'Seeds write');
   }
 
+  /** Reads the record of another data centre, so that fleets which formed apart find each other. */
+  async #lookAbroad(own: string): Promise<void> {
+    if (this.random.next() >= abroadShare) return;
+    const others = this.listener.dataCentres().filter((name) => name !== own);
+    const other = others[this.random.below(others.length)];
+    if (other === undefined) return;
+    const read = this.source.readSeeds(other);
+    const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
+    if (stored) this.#greetUnknown(stored.record);
+  }
+
+  #greetUnknown(record: SeedRecord): void {
+    const unknown = record.seeds.filter(({ id }) => !this.members.get(id));
+    if (unknown.length > 0) this.listener.onUnknownSeeds(unknown);
+  }
+
   #isStale(record: SeedRecord, alive: readonly MemberRow[]): boolean {
     const isOld = wallNowUnixMs() - record.refreshedAtUnixMs > staleRecordMs;
     const rows = new Map(alive.map((row) => [row.id, row]));
--- a/packages/distribution/src/test-fleet/test-fleet.ts
+++ b/packages/distribution/src/test-fleet/test-fleet.ts
@@ -1,3 +1,4 @@
+import type { SeedAddress } from '@sequoiafield/membership';
 import { SeededRandom } from '@sequoiafield/tables';
 import type { Snapshot } from '@sequoiafield/types';
 import { FakeNetwork, pauseClock, type PausedClock } from '@sequoiafield/test-kit';
@@ -8,7 +9,11 @@
 
 /** Bodies of a configuration whose every section carries the version. */
 export const bodiesOf = (version: number): Record<string, string> => ({
-  mesh: JSON.stringify({ dataCentres: [], routeIndex: [], mark: version }),
+  mesh: JSON.stringify({
+    dataCentres: ['dc-0', 'dc-1', 'dc-2'].map((name) => ({ name })),
+    routeIndex: [],
+    mark: version,
+  }),
   rounds: serviceBody('rounds', version),
   settlement: serviceBody('settlement', version),
 });
@@ -48,7 +53,7 @@
   }
 
   /** Starts or restarts the node with a number. */
-  async startNode(index: number): Promise<TestNode> {
+  async startNode(index: number, joinSeeds?: readonly SeedAddress[]): Promise<TestNode> {
     const seeds = (): TestNode['self'][] =>
       this.nodes.filter((node) => node.self.address !== addressOf(index)).map((node) => node.self);
     const node = new TestNode(
@@ -60,7 +65,7 @@
       this.mechanisms,
       (snapshot) => this.onInForce(index, snapshot),
     );
-    await node.start(seeds().slice(0, 5));
+    await node.start(joinSeeds ?? seeds().slice(0, 5));
     this.nodes[index - 1] = node;
     return node;
   }
--- a/packages/distribution/src/test-fleet/test-node.ts
+++ b/packages/distribution/src/test-fleet/test-node.ts
@@ -2,6 +2,7 @@
 import {
   createMembership,
   type Membership,
+  type SeedAddress,
   type SpreadPolicy,
   type SuspicionPolicy,
 } from '@sequoiafield/membership';
@@ -89,6 +90,7 @@
       lastRefreshedAtMs: () => this.membership.lastRefreshedAtMs(),
       witnesses: () => this.membership.witnesses(),
       seeds,
+      onUnknownSeeds: (unknown) => this.membership.greet(unknown),
       guard: mechanisms.guard,
       onInForce: (snapshot) => {
         this.versions.push(snapshot.configVersion);
@@ -103,7 +105,7 @@
     });
   }
 
-  async start(seeds: readonly MemberAnnouncement[]): Promise<void> {
+  async start(seeds: readonly SeedAddress[]): Promise<void> {
     await this.membership.start();
     this.membership.join(seeds);
     this.distribution.start();
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -6,4 +6,14 @@
 export { PushAndRepair } from './push-and-repair.js';
 export { QuorumSuspicion } from './quorum-suspicion.js';
 export { headKey } from './register-table.js';
+export type { GossipRow } from './gossip-row.js';
 export { UdpPort } from './udp-port.js';
+export {
+  decodeMessage,
+  encodeMessage,
+  encodeRegister,
+  encodeRow,
+  encodeState,
+  MessageType,
+  type Message,
+} from './wire.js';
--- a/packages/membership/src/joiner.ts
+++ b/packages/membership/src/joiner.ts
@@ -21,6 +21,8 @@
 const greetedSeeds = 3;
 /** Time for a greeted seed to answer with its row, which names its link port. */
 const greetAnswerMs = 300;
+/** After so many greetings without an answer the node counts as the first of its fleet. */
+const greetingsMax = 4;
 /** Peers that a joining node shares its pull between. */
 const pulledPeers = 3;
 
@@ -48,6 +50,8 @@
 
   #isFirstSync = true;
 
+  #unanswered = 0;
+
   #startedAtMs = Number.NEGATIVE_INFINITY;
 
   #waiting: (() => void)[] = [];
@@ -62,7 +66,10 @@
     private readonly isReady: () => boolean,
   ) {}
 
-  /** Resolves once the rows of one peer are in; at once where no other seed exists. */
+  /**
+   * Resolves once the rows of one peer are in, at once where no other seed exists, or when no seed
+   * answered several greetings; a lone node goes on greeting its seeds.
+   */
   join(seeds: readonly SeedAddress[]): Promise<void> {
     const { self } = this.members;
     this.#seeds = seeds.filter(
@@ -93,9 +100,7 @@
     this.#pull()
       .then(
         () => this.#onPulled(),
-        () => {
-          this.#retryMs = Math.min(retryMaxMs, this.#retryMs * 2);
-        },
+        () => this.#onFailed(),
       )
       .finally(() => {
         this.#isBusy = false;
@@ -136,6 +141,18 @@
     });
   }
 
+  /** Greets nodes that another source named, so that fleets which formed apart merge. */
+  greet(seeds: readonly SeedAddress[]): void {
+    for (const seed of seeds) this.prober.greet(seed);
+    this.hasten();
+  }
+
+  #onFailed(): void {
+    this.#retryMs = Math.min(retryMaxMs, this.#retryMs * 2);
+    this.#unanswered += 1;
+    if (!this.#isJoined && this.#unanswered >= greetingsMax) this.#onPulled();
+  }
+
   #onPulled(): void {
     if (!this.#isJoined) this.gossip.spreadRow(this.gossip.ownRow(), true);
     this.#isJoined = true;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -58,6 +58,8 @@
   stop(): void;
   /** Resolves once a seed answered and the rows of a peer are in; retries with jitter until then. */
   join(seeds: readonly SeedAddress[]): Promise<void>;
+  /** Greets nodes that the store's seeds name, so that fleets which formed apart merge. */
+  greet(seeds: readonly SeedAddress[]): void;
   announceDraining(): void;
   announceLeft(): void;
   /** Tells the witnesses of this node which configuration version it has in force. */
@@ -142,6 +144,7 @@
     },
     stop: () => port.close(),
     join: (seeds) => joins.join(seeds),
+    greet: (seeds) => joins.greet(seeds),
     announceDraining: () => announce(MemberState.Draining),
     announceLeft: () => announce(MemberState.Left),
     announceConfigVersion: () => {
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -155,6 +155,7 @@
     const belief = this.#beliefItems(target);
     this.gossip.send(MessageType.Ping, target, {
       sequence: this.#sequence,
+      argument: target.id,
       items: [encodeRow(this.gossip.ownRow()), ...belief],
       hasRumours: true,
     });
@@ -172,7 +173,9 @@
 
   #onPing(message: Message): void {
     const sender = this.members.get(message.fromId);
-    if (!sender) return;
+    // A process that took over the address of another does not answer for it.
+    const isAddressed = message.argument === null || message.argument === this.members.selfId;
+    if (!sender || !isAddressed) return;
     this.gossip.send(MessageType.Ack, sender, {
       sequence: message.sequence,
       items: [encodeRow(this.gossip.ownRow()), ...this.#beliefItems(sender)],
