--- a/packages/config/src/node-settings.ts
+++ b/packages/config/src/node-settings.ts
@@ -36,7 +36,11 @@
     readonly healthPath: string;
   };
   readonly store: StoreSettings;
-  readonly gossip: { readonly seeds: readonly IpEndpoint[] };
+  readonly gossip: {
+    readonly seeds: readonly IpEndpoint[];
+    /** Nodes to expect before the fleet is known; bounds the store calls of a cold start. */
+    readonly expectedFleetSize: number;
+  };
   /** Services that this node routes to; empty: all. */
   readonly routing: { readonly services: readonly string[] };
   readonly log: { readonly level: 'error' | 'warn' | 'info' };
@@ -116,7 +120,7 @@
     node: toNode(node),
     backendServer: toBackendServer(backendServer),
     store: toStore(store),
-    gossip,
+    gossip: { seeds: gossip.seeds, expectedFleetSize: gossip.expected_fleet_size },
     routing,
     log,
     drain: { timeoutMs: drain.timeout_ms },
