Add recovery tests with real processes

Cause: data centre moves, operator races, lost answers and mass restarts under a store outage had no test with real processes. Change: four tests; the harness can name peers in the settings.

--- /dev/null
+++ b/packages/integration-tests/src/recovery.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { FaultEffect, FaultOperation, LocalMesh, type InstancePlan } from '@sequoiafield/stand-ins';
+import { buildBundles } from './build.js';
+import { kerasmaFiles, type ConfigurationFiles } from './configurations.js';
+
+const instances: readonly InstancePlan[] = [
+  'ath-1',
+  'ath-1',
+  'ath-1',
+  'ath-2',
+  'ath-2',
+  'ath-2',
+].map((dataCentre, index) => ({
+  id: `s${index + 1}`,
+  dataCentre,
+  service: 'settlement',
+  backendVersion: 'v1',
+  behaviour: { serviceTimeMs: 5 },
+}));
+/** Time after which a data centre that is out, or a server that leaves, gets no new work. */
+const evacuationLimitMs = 3000;
+
+const mesh = new LocalMesh({ distFolder: buildBundles(), instances, hasSeedSettings: true });
+const both = kerasmaFiles({ 'ath-1': 'in', 'ath-2': 'in' });
+
+const withDeadline = (deadlineMs: number): ConfigurationFiles => ({
+  ...both,
+  '95-deadline.ini': `[route settlement-post]\ndeadline_ms = ${deadlineMs}\n`,
+});
+
+const load = (runId: string, durationS: number, targets: readonly string[]) =>
+  mesh.startLoad(
+    [
+      ...['--lookup', 'GET /tabs/{n}', '--request', 'POST /settle/{n}', '--lookupPercent', '50'],
+      ...['--rate', '80', '--durationS', String(durationS), '--deadlineMs', '3000'],
+      ...['--runId', runId],
+    ],
+    targets,
+  );
+
+const headVersion = async (): Promise<number> => {
+  const response = await fetch(`${mesh.storeUrl}/v1/kv/sequoiafield/head`);
+  const { value } = (await response.json()) as { value: string };
+  return (JSON.parse(value) as { configVersion: number }).configVersion;
+};
+
+const startedCalls = async (ids: readonly string[]): Promise<number> => {
+  const counts = await Promise.all(
+    ids.map(async (id) => {
+      const response = await fetch(`${mesh.instance(id).backendUrl}/-/ledger`);
+      const { entries } = (await response.json()) as { entries: unknown[] };
+      return entries.length;
+    }),
+  );
+  return counts.reduce((sum, count) => sum + count, 0);
+};
+
+before(async () => {
+  await mesh.start();
+  const { code, log } = await mesh.apply(both);
+  assert.equal(code, 0, log);
+  await mesh.waitInForce(1);
+});
+
+after(() => mesh.stop());
+
+test('a data centre that is out gets no new work, and gets work after its return', async () => {
+  // Guards against callers in or outside the data centre that still send work there.
+  const finish = load('out', 12, ['s1', 's4']);
+  await delay(1000);
+  assert.equal((await mesh.apply(kerasmaFiles({ 'ath-1': 'in', 'ath-2': 'out' }))).code, 0);
+  await delay(evacuationLimitMs);
+  const beforeCalls = await startedCalls(['s4', 's5', 's6']);
+  await delay(2000);
+  const afterCalls = await startedCalls(['s4', 's5', 's6']);
+  assert.equal(afterCalls, beforeCalls);
+  assert.equal((await mesh.apply(both)).code, 0);
+  const { outcomes, verification } = await finish();
+  assert.ok((await startedCalls(['s4', 's5', 's6'])) > afterCalls);
+  assert.equal(verification.violationCount, 0, JSON.stringify(verification.violations));
+  assert.ok((outcomes.answered ?? 0) > 0.98 * 12 * 80, JSON.stringify(outcomes));
+});
+
+test('of two racing operators one is accepted and the other sees the conflict', async () => {
+  // Guards against a change that silently replaces another operator's change.
+  const version = await headVersion();
+  await mesh.setStoreFaults([
+    {
+      effect: FaultEffect.Delay,
+      operation: FaultOperation.Write,
+      keyPrefix: 'sequoiafield/manifest',
+      delayMs: 900,
+    },
+  ]);
+  const folders = [1000, 1500].map((deadlineMs) =>
+    mesh.writeFolder(`race-${deadlineMs}`, withDeadline(deadlineMs)),
+  );
+  const results = await Promise.all(
+    folders.map((folder) =>
+      mesh.run(['apply', folder, '--store', mesh.storeUrl, '--author', 'race']),
+    ),
+  );
+  await mesh.setStoreFaults([]);
+  assert.deepEqual(results.map(({ code }) => code).sort(), [0, 3]);
+  assert.equal(await headVersion(), version + 1);
+  await mesh.waitInForce(version + 1);
+});
+
+test('an accept whose answer is lost is settled by reading back', async () => {
+  // Guards against an accept that is written twice, or reported as failed although it holds.
+  const version = await headVersion();
+  await mesh.setStoreFaults([
+    {
+      effect: FaultEffect.LoseAnswer,
+      operation: FaultOperation.Write,
+      keyPrefix: 'sequoiafield/head',
+      remaining: 1,
+    },
+  ]);
+  const { code, output, log } = await mesh.apply(withDeadline(1800));
+  await mesh.setStoreFaults([]);
+  assert.equal(code, 0, log);
+  assert.match(output, new RegExp(`version ${version + 1}`));
+  assert.equal(await headVersion(), version + 1);
+  await mesh.waitInForce(version + 1);
+});
+
+test('a store outage accepts nothing and returning nodes never go back', async () => {
+  // Guards against a node that serves an older version because the store cannot be asked.
+  const version = await headVersion();
+  await mesh.setStoreFaults([{ effect: FaultEffect.Refuse }]);
+  const refused = await mesh.apply(withDeadline(1200));
+  assert.equal(refused.code, 4, refused.log);
+  assert.match(refused.log, /[Nn]othing was accepted/);
+  const finish = load('herd', 10, ['s4', 's5']);
+  await delay(1000);
+  const herd = ['s1', 's2', 's3'];
+  await Promise.all(herd.map((id) => mesh.instance(id).node?.kill()));
+  herd.forEach((id) => mesh.instance(id).startNode());
+  for (const id of herd) {
+    await mesh.waitUntil(`${id} serves`, 20_000, async () => {
+      const state = await mesh.instance(id).state();
+      assert.ok(state.isServing !== true || Number(state.configVersion) >= version);
+      return state.isServing === true;
+    });
+  }
+  const { outcomes, verification } = await finish();
+  await mesh.setStoreFaults([]);
+  assert.equal(verification.violationCount, 0, JSON.stringify(verification.violations));
+  assert.ok((outcomes.answered ?? 0) > 0.95 * 800, JSON.stringify(outcomes));
+  await mesh.waitInForce(version);
+});
--- a/packages/stand-ins/src/harness/local-instance.ts
+++ b/packages/stand-ins/src/harness/local-instance.ts
@@ -59,6 +59,8 @@
     readonly ports: InstancePorts,
     private readonly paths: HarnessPaths,
     private readonly storeUrl: string,
+    /** Gossip endpoints for the settings; without them the node looks in the store. */
+    private readonly seeds: () => readonly string[] = () => [],
   ) {}
 
   get callUrl(): string {
@@ -145,6 +147,8 @@
       'health_path = /-/health',
       '[store]',
       `url = ${this.storeUrl}`,
+      '[gossip]',
+      `seeds = ${this.seeds().join(',')}`,
       '',
     ].join('\n');
   }
--- a/packages/stand-ins/src/harness/local-mesh.ts
+++ b/packages/stand-ins/src/harness/local-mesh.ts
@@ -43,6 +43,8 @@
   /** Puts a fault proxy in front of the gossip and link ports of every instance. */
   readonly isProxied?: boolean;
   readonly seed?: number;
+  /** Names the other instances in the settings, so that nodes find peers without the store. */
+  readonly hasSeedSettings?: boolean;
 }
 
 /** Store, backend servers and nodes as real processes on loopback. */
@@ -79,7 +81,9 @@
     await this.#store.ready();
     for (const plan of this.options.instances) {
       const ports = await takeInstancePorts(this.options.isProxied === true);
-      const instance = new LocalInstance(plan, ports, this.#paths, this.storeUrl);
+      const instance = new LocalInstance(plan, ports, this.#paths, this.storeUrl, () =>
+        this.#seedsFor(plan.id),
+      );
       this.instances.set(plan.id, instance);
     }
     if (this.options.isProxied) await this.#startProxy();
@@ -198,6 +202,13 @@
     rmSync(this.#paths.workFolder, { recursive: true, force: true });
   }
 
+  #seedsFor(id: string): readonly string[] {
+    if (!this.options.hasSeedSettings) return [];
+    return [...this.instances.values()]
+      .filter(({ plan }) => plan.id !== id)
+      .map(({ ports }) => `127.0.0.1:${ports.advertisedGossip || ports.gossip}`);
+  }
+
   async #startProxy(): Promise<void> {
     const controlPort = await takeFreePort();
     const paths = [...this.instances.values()].flatMap(({ plan, ports }) => [
