Print the burn report of the burn package

Cause: package burn summarizes the node's answer before it formats it, and a node without a configuration refuses the in-force question for version 0. Change: report burn calls summarizeBurn and the formatters; status leaves the in-force question out while no version is known.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -1,3 +1,4 @@
+import type { BurnAnswer } from '@sequoiafield/burn';
 import { CommandError } from '@sequoiafield/errors';
 import type { FleetAnswer, MoveStatus } from '@sequoiafield/types';
 import { Agent, request } from 'undici';
@@ -35,8 +36,8 @@
     return ((await this.#get('/v1/moves')) as { moves: readonly MoveStatus[] }).moves;
   }
 
-  async burn(): Promise<FleetAnswer<unknown>> {
-    return (await this.#get('/v1/fleet/burn')) as FleetAnswer<unknown>;
+  async burn(): Promise<FleetAnswer<BurnAnswer>> {
+    return (await this.#get('/v1/fleet/burn')) as FleetAnswer<BurnAnswer>;
   }
 
   async state(): Promise<unknown> {
--- a/packages/cli/src/commands.test.ts
+++ b/packages/cli/src/commands.test.ts
@@ -52,7 +52,7 @@
 
 /** Commands of one operator on a store in memory; `run` gives status and output. */
 class Operator implements CommandContext {
-  readonly env: Record<string, string> = { SEQUOIAFIELD_STORE_URL: 'http://127.0.0.1:1' };
+  readonly env: Record<string, string>;
 
   isTerminal = false;
 
@@ -64,7 +64,12 @@
 
   readonly #name: string;
 
-  constructor(store: MemoryStore, name = 'ada') {
+  constructor(
+    store: MemoryStore,
+    name = 'ada',
+    env: Record<string, string> = { SEQUOIAFIELD_STORE_URL: 'http://127.0.0.1:1' },
+  ) {
+    this.env = env;
     this.#store = store;
     this.#name = name;
   }
@@ -190,11 +195,12 @@
   const operator = new Operator(new MemoryStore());
   answers['/v1/fleet/in-force?configVersion=1'] = inForce(2, ['n2']);
   answers['/v1/moves'] = moveStatus(MoveVerdict.Undecided, 'waits for evidence', 2);
+  const windows = [0, 5, 5].map((bad) => ({ good: 995, bad }));
   answers['/v1/fleet/burn'] = {
-    answered: 3,
+    answered: 2,
     total: 3,
-    missingIds: [],
-    value: { services: [] },
+    missingIds: ['n3'],
+    value: { lager: { targetPercent: 99, latencyMs: 300, windowDays: 30, windows, points: {} } },
   };
   const lines = [
     'status ADMIN',
@@ -204,10 +210,17 @@
     'wait --timeout-s 0.01 ADMIN',
     'wait --move lager-v2 lager-v3 --timeout-s 0.01 ADMIN',
     'wait --config-version 2 ADMIN',
-    'report burn ADMIN --json',
+    'report burn ADMIN',
     `status --admin ${adminUrl}`,
   ];
   const output = await operator.runAll(lines);
+  const burn = await operator.run('report burn ADMIN --json');
+  assert.match(burn, /"isSuccess":false,"exitStatus":1,.*"answeredNodes":2,"totalNodes":3/);
+  assert.match(await operator.run('report burn --html ADMIN'), /<html/);
+  answers['/v1/state'] = { configVersion: 0 };
+  const env = { SEQUOIAFIELD_ADMIN_URL: adminUrl, SEQUOIAFIELD_NODE_ADMIN_TOKEN: token };
+  const fresh = new Operator(new MemoryStore(), 'ada', env);
+  assert.match(await fresh.run('status'), /No version is in force[^]*=> 0/);
   matchSnapshot(import.meta.filename, 'node commands', output.replaceAll(adminUrl, 'http://node'));
 });
 
--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -1,3 +1,4 @@
+import { formatBurnHtml, formatBurnTable, summarizeBurn } from '@sequoiafield/burn';
 import { ExitStatus } from '../exit-status.js';
 import { addAdminOptions, withAdmin, type AdminArguments } from '../options.js';
 import type { OperatorCommand } from '../run-cli.js';
@@ -7,19 +8,6 @@
   readonly html: boolean;
 }
 
-type BurnFormatter = (value: unknown) => string;
-
-/** Formatter of package `burn`, or indented JSON while the package does not export it. */
-const loadFormatter = async (
-  name: 'formatBurnTable' | 'formatBurnHtml',
-): Promise<BurnFormatter> => {
-  const burn = (await import('@sequoiafield/burn')) as Readonly<Record<string, unknown>>;
-  const formatter = burn[name];
-  return typeof formatter === 'function'
-    ? (formatter as BurnFormatter)
-    : (value) => JSON.stringify(value, undefined, 2);
-};
-
 /** `report burn`: shows how fast the services spend their error budgets. */
 export const reportCommand: OperatorCommand<ReportArguments> = {
   command: 'report <name>',
@@ -34,16 +22,15 @@
       .option('html', { type: 'boolean', default: false, describe: 'Print a page of HTML' }),
   run: async (args, context) => {
     const answer = await withAdmin(context, args, (admin) => admin.burn());
-    const format = await loadFormatter(args.html ? 'formatBurnHtml' : 'formatBurnTable');
-    const text = answer.value === undefined ? 'No node answered' : format(answer.value);
-    const isComplete = answer.answered === answer.total && answer.value !== undefined;
-    const missing = `${answer.answered} of ${answer.total} nodes answered`;
+    const report = summarizeBurn(answer);
+    const text = args.html ? formatBurnHtml(report) : formatBurnTable(report);
+    const isComplete = answer.total > 0 && answer.answered === answer.total;
     return {
       // A report that lacks nodes understates the burn, so it does not count as a success.
       status: isComplete ? ExitStatus.Success : ExitStatus.Failed,
-      hasPartialOutput: answer.value !== undefined,
-      data: { ...answer },
-      lines: [...text.trimEnd().split('\n'), ...(isComplete || args.html ? [] : [missing])],
+      hasPartialOutput: true,
+      data: { ...report },
+      lines: text.trimEnd().split('\n'),
     };
   },
 };
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -51,8 +51,12 @@
 const readFleet = async (admin: AdminClient, accepted: CommandResult): Promise<CommandResult> => {
   const state = await admin.state();
   const configVersion = chooseVersion(accepted, state);
-  const inForce = await admin.inForce(configVersion);
   const moves: readonly MoveStatus[] = await admin.moves();
+  if (configVersion < 1) {
+    const lines = ['No version is in force on the node', ...moves.map(formatMove)];
+    return { status: ExitStatus.Success, data: { moves, node: state }, lines };
+  }
+  const inForce = await admin.inForce(configVersion);
   return {
     status: ExitStatus.Success,
     data: { configVersion, inForce, moves, node: state },
