Refuse a move under the id of a decided one

Cause: verdicts are kept by the id of a move for good. Under an old "done", a new version would get all traffic at once, untested.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -14,7 +14,14 @@
   readonly lagging: readonly string[];
 }
 
-/** Client of the admin interface of one node. */
+/**
+ * Client of the admin interface of one node; every failure is a `CommandError`.
+ *
+ * @example
+ * const admin = new AdminClient('http://127.0.0.1:7003', '');
+ * const { total, value } = await admin.inForce(7);
+ * await admin.close();
+ */
 export class AdminClient {
   readonly #url: string;
 
--- a/packages/cli/src/exit-status.ts
+++ b/packages/cli/src/exit-status.ts
@@ -1,6 +1,6 @@
 import { ConfigDataError, ConfigRefusedError } from '@sequoiafield/config';
 import { CommandError, StoreError } from '@sequoiafield/errors';
-import { AcceptConflictError } from '@sequoiafield/store';
+import { AcceptConflictError, MoveDecidedError } from '@sequoiafield/store';
 
 /** Exit status of the command. */
 export enum ExitStatus {
@@ -26,6 +26,7 @@
  */
 export const statusOfError = (error: unknown): ExitStatus => {
   if (error instanceof ConfigRefusedError || error instanceof UsageError) return ExitStatus.Refused;
+  if (error instanceof MoveDecidedError) return ExitStatus.Refused;
   if (error instanceof AcceptConflictError) return ExitStatus.Conflict;
   if (error instanceof StoreError || error instanceof ConfigDataError) {
     return ExitStatus.StoreUnavailable;
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -37,7 +37,13 @@
   else context.writeError(text);
 };
 
-/** Runs the command line; commands that are not operator commands keep their own handler. */
+/**
+ * Runs the command line; commands that are not operator commands keep their own handler.
+ *
+ * @example
+ * const commandLine = new CommandLine(new ProcessContext()).add(validateCommand);
+ * process.exitCode = await commandLine.run(hideBin(process.argv));
+ */
 export class CommandLine {
   readonly #context: CommandContext;
 
--- a/packages/store/src/accept-operation.ts
+++ b/packages/store/src/accept-operation.ts
@@ -9,7 +9,8 @@
 import { wallNowUnixMs } from '@sequoiafield/tables';
 import type { Configuration, HeadRecord, Manifest, MeshSection } from '@sequoiafield/types';
 import { listChangedSections, type ConfigReader, type ReadHead } from './config-reader.js';
-import { AcceptConflictError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
+import { MoveDecidedError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
+import { refuseDecidedMoves } from './decided-moves.js';
 import { HeadSettlement } from './head-settlement.js';
 import { mapInBatches } from './in-batches.js';
 import { storeKeys } from './keys.js';
@@ -73,6 +74,7 @@
       return { kind: 'unchanged', head: base.head.record };
     }
     const record = this.#buildRecord(manifest, nowUnixMs);
+    await this.#orNothing('read the verdicts', () => this.#checkMoves(base, changedSections));
     await this.#orNothing('write the new sections', () =>
       this.#writeContents(base, sections, manifest),
     );
@@ -87,6 +89,12 @@
     return { head, manifest, mesh };
   }
 
+  async #checkMoves(base: Base, changedSections: readonly string[]): Promise<void> {
+    if (!base.manifest) return;
+    const { configuration } = this.#request;
+    await refuseDecidedMoves(this.#reader, base.manifest, changedSections, configuration);
+  }
+
   #buildRecord({ manifest, digest }: ManifestBody, nowUnixMs: number): HeadRecord {
     return checkHead({
       configVersion: manifest.configVersion,
@@ -152,7 +160,7 @@
   }
 
   #nothingAccepted(step: string, cause: unknown): Error {
-    if (cause instanceof AcceptConflictError) return cause;
+    if (cause instanceof MoveDecidedError) return cause;
     return new NotAcceptedError(`Nothing was accepted; could not ${step}:`, { cause });
   }
 }
--- a/packages/store/src/accept.test.ts
+++ b/packages/store/src/accept.test.ts
@@ -2,7 +2,7 @@
 import { after, before, test } from 'node:test';
 import { loadFiles, parseHead } from '@sequoiafield/config';
 import { matchSnapshot, pauseClock, type PausedClock } from '@sequoiafield/test-kit';
-import type { Configuration } from '@sequoiafield/types';
+import { MoveVerdict, type Configuration } from '@sequoiafield/types';
 import fc from 'fast-check';
 import {
   AcceptConflictError,
@@ -182,6 +182,36 @@
   assert.equal(swaps.length, 1);
 });
 
+test('a move under the id of a decided one is refused', async () => {
+  // Guards invariant 4: under an old "done" an untested version would get all traffic at once.
+  const { repository } = await prepare(() => undefined);
+  const apply = (from: string, to: string, finish: string): Promise<string> => {
+    const text =
+      `[move lager-next]\nservice = lager\nfrom = ${from}\nto = ${to}\n` +
+      `start_at = 2026-01-01T00:00:00Z\nfinish_by = ${finish}\nunproven_cap_percent = 5\n`;
+    const configuration = configure(10, 'in', text);
+    const operationId = `${from} to ${to} by ${finish}`;
+    return settle(repository.accept({ configuration, author: 'a', operationId })).then((result) =>
+      result instanceof Error ? `${result.name}: ${result.message}` : nameOf(result),
+    );
+  };
+  const outcomes = [await apply('v1', 'v2', '2026-01-01T01:00:00Z')];
+  await repository.writeVerdict({
+    moveId: 'lager-next',
+    service: 'lager',
+    verdict: MoveVerdict.Done,
+    reason: '',
+    decidedAtUnixMs: 1,
+    nodeId: 'n1',
+  });
+  outcomes.push(await apply('v1', 'v2', '2026-01-01T02:00:00Z'));
+  outcomes.push(await apply('v1', 'v3', '2026-01-01T02:00:00Z'));
+  // Taking the move out first does not free its id.
+  outcomes.push(nameOf(await settle(repository.accept(request('without', 10)))));
+  outcomes.push(await apply('v1', 'v3', '2026-01-01T02:00:00Z'));
+  matchSnapshot(import.meta.filename, 'decided moves', outcomes.join('\n'));
+});
+
 test('a data centre is stamped when its state changes, and only then', async () => {
   // Guards against a returning data centre without a ramp, or one whose ramp starts anew.
   const { repository } = await prepare(() => undefined);
--- a/packages/store/src/config-reader.ts
+++ b/packages/store/src/config-reader.ts
@@ -4,6 +4,7 @@
   parseHead,
   parseManifest,
   parseSection,
+  parseVerdict,
   type SectionBody,
 } from '@sequoiafield/config';
 import type {
@@ -12,6 +13,7 @@
   Manifest,
   MeshSection,
   ServiceSection,
+  VerdictRecord,
 } from '@sequoiafield/types';
 import { StoreDataError } from './errors.js';
 import { mapInBatches } from './in-batches.js';
@@ -48,7 +50,14 @@
 /** Most history entries that one call reads. */
 export const historyReadMax = 100;
 
-/** Reads the accepted configuration and its history. */
+/**
+ * Reads the accepted configuration, its history and the verdicts.
+ *
+ * @example
+ * const reader = new ConfigReader(store);
+ * const head = await reader.readHead();
+ * const manifest = head && (await reader.readManifest(head.record.manifestDigest));
+ */
 export class ConfigReader {
   readonly #store: PlatformStore;
 
@@ -147,6 +156,12 @@
     return [head.record, ...entries.filter((entry) => entry !== undefined)];
   }
 
+  /** Verdict on a move, or undefined if none was written. One call. */
+  async readVerdict(moveId: string): Promise<VerdictRecord | undefined> {
+    const entry = await this.#store.get(storeKeys.verdict(moveId));
+    return entry && parseVerdict(entry.value);
+  }
+
   async #readRequired(key: string): Promise<string> {
     const entry = await this.#store.get(key);
     if (!entry) throw new StoreDataError(`The store has no ${key}`);
--- a/packages/store/src/config-repository.ts
+++ b/packages/store/src/config-repository.ts
@@ -46,11 +46,11 @@
 
   /**
    * Accepts a configuration: reads the head, writes the sections that are new, then the manifest,
-   * and swaps the head once. Calls: 3 reads, one write per new section, 4 more writes, and at most
-   * 6 reads to settle a lost answer.
+   * and swaps the head once. Calls: 3 reads, one read per changed service with moves and per new
+   * move, one write per new section, 4 more writes, and at most 6 reads to settle a lost answer.
    *
    * @throws NotAcceptedError: certainly not accepted; AcceptConflictError: another operator's was;
-   * AcceptUnknownError: the answer was lost and reading back did not settle it.
+   * MoveDecidedError: a move has the id of a decided one; AcceptUnknownError: the answer was lost and reading back did not settle it.
    */
   async accept(request: AcceptRequest): Promise<AcceptResult> {
     return new AcceptOperation(this.#store, this, request).run();
@@ -75,12 +75,6 @@
     return result.kind === 'written';
   }
 
-  /** Verdict on a move, or undefined if none was written. One call. */
-  async readVerdict(moveId: string): Promise<VerdictRecord | undefined> {
-    const entry = await this.#store.get(storeKeys.verdict(moveId));
-    return entry && parseVerdict(entry.value);
-  }
-
   /**
    * Writes a verdict unless the store has one of the same or a higher rank. At most 1 read and 4
    * writes, and 1 read after a lost answer.
--- /dev/null
+++ b/packages/store/src/decided-moves.ts
@@ -0,0 +1,52 @@
+import {
+  MoveVerdict,
+  type Configuration,
+  type Manifest,
+  type MoveIntent,
+  type VerdictRecord,
+} from '@sequoiafield/types';
+import type { ConfigReader } from './config-reader.js';
+import { MoveDecidedError } from './errors.js';
+import { mapInBatches } from './in-batches.js';
+
+const isSameShift = (left: MoveIntent, right: MoveIntent): boolean =>
+  left.service === right.service &&
+  left.fromVersion === right.fromVersion &&
+  left.toVersion === right.toVersion;
+
+/**
+ * Refuses a move that is new, or goes between other versions than before, under an id that already
+ * has a verdict. Verdicts are kept by id for good: under "done" an untested version would get all
+ * traffic at once, and under "taken back" the move would never start. One read per changed
+ * service with moves, and one per such move.
+ *
+ * @example
+ * await refuseDecidedMoves(reader, acceptedManifest, changedSections, configuration);
+ * @throws MoveDecidedError that names every such move and its verdict.
+ */
+export const refuseDecidedMoves = async (
+  reader: ConfigReader,
+  accepted: Manifest,
+  changedSections: readonly string[],
+  configuration: Configuration,
+): Promise<void> => {
+  const wanted = changedSections.flatMap((name) => configuration.services.get(name)?.moves ?? []);
+  if (wanted.length === 0) return;
+  const services = [...new Set(wanted.map(({ service }) => service))];
+  const before = await reader.readSections(accepted, services);
+  const known = [...before.services.values()].flatMap(({ moves }) => moves);
+  const unknown = wanted.filter(
+    (move) => !known.some((other) => other.id === move.id && isSameShift(other, move)),
+  );
+  const verdicts = await mapInBatches(unknown, ({ id }) => reader.readVerdict(id));
+  const decided = verdicts.filter(
+    (record): record is VerdictRecord =>
+      record !== undefined && record.verdict !== MoveVerdict.Undecided,
+  );
+  if (decided.length === 0) return;
+  const names = decided.map(({ moveId, verdict }) => `move ${moveId} (${verdict})`);
+  throw new MoveDecidedError(
+    `Nothing was accepted; these ids have a verdict already: ${names.join(', ')}; ` +
+      'expected a new id for another move',
+  );
+};
--- a/packages/store/src/errors.ts
+++ b/packages/store/src/errors.ts
@@ -27,3 +27,6 @@
     currentHead: undefined as HeadRecord | undefined,
   },
 });
+
+/** A new or altered move has the id of a move that is already decided. */
+export const MoveDecidedError = StoreError.subclass('MoveDecidedError');
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -10,6 +10,7 @@
 export {
   AcceptConflictError,
   AcceptUnknownError,
+  MoveDecidedError,
   NotAcceptedError,
   StoreDataError,
   StoreNotWrittenError,
