--- a/packages/bench/src/catalogue.ts
+++ b/packages/bench/src/catalogue.ts
@@ -4,4 +4,5 @@
 export const benchmarkLoaders: Readonly<Record<string, () => Promise<Benchmark>>> = {
   call: async () => new (await import('./call/benchmark.js')).CallBenchmark(),
   moves: async () => (await import('./moves/benchmark.js')).movesBenchmark,
+  evacuation: async () => (await import('./evacuation/evacuation.js')).evacuation,
 };
