--- a/packages/bench/src/catalogue.ts
+++ b/packages/bench/src/catalogue.ts
@@ -5,4 +5,7 @@
   call: async () => new (await import('./call/benchmark.js')).CallBenchmark(),
   moves: async () => (await import('./moves/benchmark.js')).movesBenchmark,
   evacuation: async () => (await import('./evacuation/evacuation.js')).evacuation,
+  convergence: async () =>
+    (await import('./convergence/convergence-benchmark.js')).convergenceBenchmark,
+  'node-cost': async () => (await import('./node-cost/node-cost-benchmark.js')).nodeCostBenchmark,
 };
--- a/packages/config/src/settings-schema.ts
+++ b/packages/config/src/settings-schema.ts
@@ -35,7 +35,10 @@
     url: httpUrl(),
     timeout_ms: wholeNumber('ms', 1, 60_000).default(storeTimeoutDefaultMs),
   }),
-  gossip: z.strictObject({ seeds: endpointList().default([]) }),
+  gossip: z.strictObject({
+    seeds: endpointList().default([]),
+    expected_fleet_size: wholeNumber('', 1, 1_000_000).default(1),
+  }),
   routing: z.strictObject({ services: nameList().default([]) }),
   log: z.strictObject({
     level: oneOf({ error: 'error', warn: 'warn', info: 'info' } as const).default('info'),
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -58,7 +58,7 @@
   stop(): void;
   /** Resolves once a seed answered and the rows of a peer are in; retries with jitter until then. */
   join(seeds: readonly SeedAddress[]): Promise<void>;
-  /** Makes itself known to addresses whose nodes this node does not know yet. */
+  /** Greets nodes that the store's seeds name, so that fleets which formed apart merge. */
   greet(seeds: readonly SeedAddress[]): void;
   announceDraining(): void;
   announceLeft(): void;
@@ -144,10 +144,7 @@
     },
     stop: () => port.close(),
     join: (seeds) => joins.join(seeds),
-    greet: (seeds) => {
-      seeds.forEach((seed) => prober.greet(seed));
-      joins.hasten();
-    },
+    greet: (seeds) => joins.greet(seeds),
     announceDraining: () => announce(MemberState.Draining),
     announceLeft: () => announce(MemberState.Left),
     announceConfigVersion: () => {
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -140,8 +140,8 @@
     lastRefreshedAtMs: () => membership.lastRefreshedAtMs(),
     witnesses: () => membership.witnesses(),
     seeds,
-    onSeedsRead: (read) =>
-      membership.greet(read.filter(({ id }) => membership.view.get(id) === undefined)),
+    expectedFleetSize: settings.gossip.expectedFleetSize,
+    onUnknownSeeds: (unknown) => membership.greet(unknown),
     onInForce: () => membership.announceConfigVersion(),
   });
   late.distribution = distribution;
