--- a/packages/stand-ins/src/store/store-server.test.ts
+++ b/packages/stand-ins/src/store/store-server.test.ts
@@ -10,16 +10,16 @@
 const shortTimeoutMs = 300;
 let server: StoreServer;
 let store: HttpStore;
-let hastyStore: HttpStore;
+let shortTimeoutStore: HttpStore;
 
 before(async () => {
   server = new StoreServer();
   const url = await server.listen('127.0.0.1', 0);
   store = new HttpStore({ url, timeoutMs: longTimeoutMs });
-  hastyStore = new HttpStore({ url, timeoutMs: shortTimeoutMs });
+  shortTimeoutStore = new HttpStore({ url, timeoutMs: shortTimeoutMs });
 });
 after(async () => {
-  await hastyStore.close();
+  await shortTimeoutStore.close();
   await store.close();
   await server.close();
 });
@@ -66,7 +66,7 @@
   const rows: string[] = [];
   for (const effect of Object.values(FaultEffect)) {
     if (effect === FaultEffect.Delay) continue;
-    const client = effect === FaultEffect.Hang ? hastyStore : store;
+    const client = effect === FaultEffect.Hang ? shortTimeoutStore : store;
     const key = `fault/${effect}`;
     server.faults.replace([rule(effect, key)]);
     const write = await nameOf(client.compareAndSwap(key, 0, 'value'));
@@ -81,7 +81,7 @@
 test('a delayed write takes effect although the client has given up', async () => {
   // Guards against a stand-in without the case in which a lost request arrives later.
   server.faults.replace([rule(FaultEffect.Delay, 'late')]);
-  const write = hastyStore.compareAndSwap('late', 0, 'v');
+  const write = shortTimeoutStore.compareAndSwap('late', 0, 'v');
   assert.equal(await nameOf(write), 'StoreOutcomeUnknownError');
   const entry = await server.table.watch('late', 0, longTimeoutMs);
   assert.equal(entry?.value, 'v');
--- a/packages/store/src/accept-operation.ts
+++ b/packages/store/src/accept-operation.ts
@@ -11,7 +11,7 @@
 import { listChangedSections, type ConfigReader, type ReadHead } from './config-reader.js';
 import { MoveDecidedError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
 import { refuseDecidedMoves } from './decided-moves.js';
-import { HeadSettlement } from './head-settlement.js';
+import { HeadSwapResolver } from './head-swap-resolver.js';
 import { mapInBatches } from './in-batches.js';
 import { storeKeys } from './keys.js';
 import { absentRevision, type PlatformStore } from './platform-store.js';
@@ -123,7 +123,7 @@
 
   async #swapHead(base: ReadHead | undefined, record: HeadRecord): Promise<HeadRecord> {
     const expectedRevision = base?.revision ?? absentRevision;
-    const settlement = new HeadSettlement(this.#reader, base, record);
+    const resolver = new HeadSwapResolver(this.#reader, base, record);
     try {
       const result = await this.#store.compareAndSwap(
         storeKeys.head,
@@ -132,10 +132,10 @@
       );
       if (result.kind === 'written') return record;
     } catch (error) {
-      if (error instanceof StoreOutcomeUnknownError) return settlement.afterLostAnswer(error);
+      if (error instanceof StoreOutcomeUnknownError) return resolver.afterLostAnswer(error);
       throw this.#nothingAccepted('swap the head', error);
     }
-    return settlement.afterConflict();
+    return resolver.afterConflict();
   }
 
   async #finish(head: HeadRecord, changedSections: readonly string[]): Promise<AcceptResult> {
--- a/packages/store/src/config-repository.ts
+++ b/packages/store/src/config-repository.ts
@@ -50,7 +50,8 @@
    * move, one write per new section, 4 more writes, and at most 6 reads to settle a lost answer.
    *
    * @throws NotAcceptedError: certainly not accepted; AcceptConflictError: another operator's was;
-   * MoveDecidedError: a move has the id of a decided one; AcceptUnknownError: the answer was lost and reading back did not settle it.
+   * MoveDecidedError: a move has the id of a decided one; AcceptUnknownError: the answer was
+   * lost and reading back did not settle it.
    */
   async accept(request: AcceptRequest): Promise<AcceptResult> {
     return new AcceptOperation(this.#store, this, request).run();
@@ -91,7 +92,7 @@
       if (kept) return kept;
       const result = await this.#store
         .compareAndSwap(key, current?.revision ?? absentRevision, value)
-        .catch((error: unknown) => this.#settleVerdict(key, record, error));
+        .catch((error: unknown) => this.#readAfterLostAnswer(key, record, error));
       if (result.kind === 'written') return record;
       current = result.current;
     }
@@ -104,7 +105,7 @@
     return verdictRank(kept.verdict) >= verdictRank(wanted.verdict) ? kept : undefined;
   }
 
-  async #settleVerdict(
+  async #readAfterLostAnswer(
     key: string,
     wanted: VerdictRecord,
     error: unknown,
--- a/packages/store/src/head-settlement.ts
+++ b/packages/store/src/head-swap-resolver.ts
@@ -3,8 +3,8 @@
 import { AcceptConflictError, AcceptUnknownError } from './errors.js';
 
 /** Reads of the head after a lost answer; with the pause they span about a second. */
-const settleReads = 5;
-const settlePauseMs = 250;
+const readsMax = 5;
+const pauseBetweenReadsMs = 250;
 
 const pause = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
@@ -12,7 +12,7 @@
   });
 
 /** Finds out by reads alone whether a head swap took effect. */
-export class HeadSettlement {
+export class HeadSwapResolver {
   readonly #reader: ConfigReader;
 
   readonly #base: ReadHead | undefined;
@@ -33,8 +33,8 @@
    */
   async afterLostAnswer(cause: unknown): Promise<HeadRecord> {
     let seen = 'the head could not be read back';
-    for (let read = 0; read < settleReads; read += 1) {
-      if (read > 0) await pause(settlePauseMs);
+    for (let read = 0; read < readsMax; read += 1) {
+      if (read > 0) await pause(pauseBetweenReadsMs);
       try {
         const head = await this.#reader.readHead();
         if (head && head.revision !== this.#base?.revision) return await this.#decide(head.record);
