--- a/packages/store/src/config-repository.ts
+++ b/packages/store/src/config-repository.ts
@@ -46,11 +46,12 @@
 
   /**
    * Accepts a configuration: reads the head, writes the sections that are new, then the manifest,
-   * and swaps the head once. Calls: 3 reads, one write per new section, 4 more writes, and at most
-   * 6 reads to settle a lost answer.
+   * and swaps the head once. Calls: 3 reads, one read per changed service with moves and per new
+   * move, one write per new section, 4 more writes, and at most 6 reads to settle a lost answer.
    *
    * @throws NotAcceptedError: certainly not accepted; AcceptConflictError: another operator's was;
-   * AcceptUnknownError: the answer was lost and reading back did not settle it.
+   * MoveDecidedError: a move has the id of a decided one; AcceptUnknownError: the answer was
+   * lost and reading back did not settle it.
    */
   async accept(request: AcceptRequest): Promise<AcceptResult> {
     return new AcceptOperation(this.#store, this, request).run();
@@ -75,12 +76,6 @@
     return result.kind === 'written';
   }
 
-  /** Verdict on a move, or undefined if none was written. One call. */
-  async readVerdict(moveId: string): Promise<VerdictRecord | undefined> {
-    const entry = await this.#store.get(storeKeys.verdict(moveId));
-    return entry && parseVerdict(entry.value);
-  }
-
   /**
    * Writes a verdict unless the store has one of the same or a higher rank. At most 1 read and 4
    * writes, and 1 read after a lost answer.
@@ -97,7 +92,7 @@
       if (kept) return kept;
       const result = await this.#store
         .compareAndSwap(key, current?.revision ?? absentRevision, value)
-        .catch((error: unknown) => this.#settleVerdict(key, record, error));
+        .catch((error: unknown) => this.#readAfterLostAnswer(key, record, error));
       if (result.kind === 'written') return record;
       current = result.current;
     }
@@ -110,7 +105,7 @@
     return verdictRank(kept.verdict) >= verdictRank(wanted.verdict) ? kept : undefined;
   }
 
-  async #settleVerdict(
+  async #readAfterLostAnswer(
     key: string,
     wanted: VerdictRecord,
     error: unknown,
