--- a/packages/bench/src/call/benchmark.ts
+++ b/packages/bench/src/call/benchmark.ts
@@ -1,5 +1,5 @@
 import type { Benchmark, BenchmarkOptions, BenchmarkReport } from '../benchmark.js';
-import { Mesh, type Phase } from './mesh.js';
+import { Mesh, type Phase, type PhaseOutcome } from './mesh.js';
 
 const rates = [50, 250, 500];
 /** Calls per phase and direction; enough for a 99.9th percentile of the faster rates. */
@@ -55,40 +55,67 @@
 
   readonly description = 'Latency that the mesh adds to a call, and its processor time';
 
+  readonly #rows: (string | number)[][] = [];
+
+  readonly #figures: Record<string, number | boolean> = {};
+
   async run(options: BenchmarkOptions): Promise<BenchmarkReport> {
-    const mesh = new Mesh();
-    const rows: (string | number)[][] = [];
-    const figures: Record<string, number | boolean> = {};
+    await this.#runMesh(new Mesh(), phases, '', options.isQuick);
+    if (options.hasBaseline) {
+      const posts = phases.filter(({ method }) => method === 'POST');
+      await this.#runMesh(
+        new Mesh(['keep-alive']),
+        posts,
+        ' (kept-alive connections)',
+        options.isQuick,
+      );
+    }
+    const figures = this.#figures;
+    const added = (key: string): number => Number(figures[`${key}_added_p99_us`]);
+    figures.target_p99_us = targetP99Us;
+    figures.is_target_met_at_250 =
+      added('two_nodes_GET_250') <= targetP99Us && added('two_nodes_POST_250') <= targetP99Us;
+    return { name: this.name, columns: [...columns], rows: this.#rows, figures };
+  }
+
+  async #runMesh(
+    mesh: Mesh,
+    wanted: readonly Phase[],
+    suffix: string,
+    isQuick: boolean,
+  ): Promise<void> {
     try {
       await mesh.start();
       for (const phase of warmUpPhases) await mesh.run(phase, warmUpMs);
-      for (const phase of phases) {
-        const outcome = await mesh.run(phase, phaseMs(phase, options.isQuick));
-        const { direct, mesh: through } = outcome.result;
-        const name = `${phase.path} ${phase.method} ${phase.callsPerSecond}`.replaceAll(' ', '_');
-        figures[`${name}_added_p50_us`] = through.p50Us - direct.p50Us;
-        figures[`${name}_added_p99_us`] = through.p99Us - direct.p99Us;
-        figures[`${name}_added_p999_us`] = through.p999Us - direct.p999Us;
-        rows.push([
-          phase.path,
-          phase.method,
-          phase.callsPerSecond,
-          through.count,
-          direct.failed + through.failed,
-          ...[direct.p50Us, direct.p99Us, direct.p999Us],
-          ...[through.p50Us, through.p99Us, through.p999Us],
-          ...[through.p50Us - direct.p50Us, through.p99Us - direct.p99Us],
-          through.p999Us - direct.p999Us,
-          ...[outcome.nearUs, outcome.farUs],
-        ]);
+      for (const phase of wanted) {
+        this.#add(phase, suffix, await mesh.run(phase, phaseMs(phase, isQuick)));
       }
     } finally {
       await mesh.stop();
     }
-    const added = (key: string): number => Number(figures[`${key}_added_p99_us`]);
-    figures.target_p99_us = targetP99Us;
-    figures.is_target_met_at_250 =
-      added('two_nodes_GET_250') <= targetP99Us && added('two_nodes_POST_250') <= targetP99Us;
-    return { name: this.name, columns: [...columns], rows, figures };
+  }
+
+  #add(phase: Phase, suffix: string, outcome: PhaseOutcome): void {
+    const { direct, mesh: through } = outcome.result;
+    const added = [
+      through.p50Us - direct.p50Us,
+      through.p99Us - direct.p99Us,
+      through.p999Us - direct.p999Us,
+    ] as const;
+    const name = `${phase.path}${suffix}_${phase.method}_${phase.callsPerSecond}`;
+    const key = name.replaceAll(/[^\w]+/g, '_');
+    [this.#figures[`${key}_added_p50_us`], this.#figures[`${key}_added_p99_us`]] = added;
+    [, , this.#figures[`${key}_added_p999_us`]] = added;
+    this.#rows.push([
+      `${phase.path}${suffix}`,
+      phase.method,
+      phase.callsPerSecond,
+      through.count,
+      direct.failed + through.failed,
+      ...[direct.p50Us, direct.p99Us, direct.p999Us],
+      ...[through.p50Us, through.p99Us, through.p999Us],
+      ...added,
+      ...[outcome.nearUs, outcome.farUs],
+    ]);
   }
 }
--- a/packages/bench/src/call/mesh.ts
+++ b/packages/bench/src/call/mesh.ts
@@ -10,6 +10,13 @@
   readonly callsPerSecond: number;
 }
 
+/** Result of a phase with the processor time of each node per call. */
+export interface PhaseOutcome {
+  readonly result: LoadResult;
+  readonly nearUs: number;
+  readonly farUs: number;
+}
+
 /** Processes of one run: a backend server, two nodes and the load generator. */
 export class Mesh {
   #backendServer!: Child;
@@ -22,6 +29,9 @@
 
   #ports!: { backend: number; near: PeerPorts; far: PeerPorts };
 
+  /** `nodeArguments` follow the origin of the backend server on the command line of each node. */
+  constructor(private readonly nodeArguments: readonly string[] = []) {}
+
   async start(): Promise<void> {
     const folder = await bundleProcesses();
     const script = (name: string): string => join(folder, `${name}.cjs`);
@@ -30,8 +40,8 @@
     const { port } = await this.#backendServer.receive<{ port: number }>();
     await this.#load.receive();
     const origin = `http://127.0.0.1:${port}`;
-    this.#near = new Child('node A', script('node-process'), ['a', origin]);
-    this.#far = new Child('node B', script('node-process'), ['b', origin]);
+    this.#near = new Child('node A', script('node-process'), ['a', origin, ...this.nodeArguments]);
+    this.#far = new Child('node B', script('node-process'), ['b', origin, ...this.nodeArguments]);
     const near = await this.#near.receive<PeerPorts>();
     const far = await this.#far.receive<PeerPorts>();
     this.#ports = { backend: port, near, far };
@@ -40,7 +50,7 @@
   }
 
   /** Runs a phase; processor time per call is that of the mesh calls of the phase. */
-  async run(phase: Phase, durationMs: number) {
+  async run(phase: Phase, durationMs: number): Promise<PhaseOutcome> {
     const { backend, near, far } = this.#ports;
     const first = phase.path === 'two nodes' ? near : far;
     const load: LoadOptions = {
--- a/packages/bench/src/call/node-process.ts
+++ b/packages/bench/src/call/node-process.ts
@@ -5,7 +5,8 @@
 import { answerParent } from './child-answers.js';
 import { FixedDecisions, makeRow } from './fixed-decisions.js';
 
-const [id = 'node', backendOrigin = ''] = process.argv.slice(2);
+const [id = 'node', origin = '', keepAliveArgument] = process.argv.slice(2);
+const usesFreshConnections = keepAliveArgument !== 'keep-alive';
 const self = makeRow({ id, linkPort: 0, callPort: 0 });
 const decisions = new FixedDecisions();
 const logger = new SilentLogger();
@@ -15,7 +16,7 @@
   rollout: decisions,
   admission: decisions,
   evidence: decisions,
-  backend: new UndiciBackendClient({ origin: backendOrigin, connectionsMax: 130 }),
+  backend: new UndiciBackendClient({ origin, connectionsMax: 130, usesFreshConnections }),
 });
 const transport = createTransport({ self, receiver, logger, random });
 const calls = createCallPath({
