--- a/packages/config/src/node-settings.ts
+++ b/packages/config/src/node-settings.ts
@@ -20,6 +20,9 @@
     readonly gossipPort: number;
     readonly linkPort: number;
     readonly callPort: number;
+    /** Ports under which peers reach this node, where a mapping is in between; 0: the same. */
+    readonly advertisedGossipPort: number;
+    readonly advertisedLinkPort: number;
     readonly adminAddress: string;
     readonly adminPort: number;
     /** Empty: no token is asked for, which is allowed on loopback only. */
@@ -33,7 +36,11 @@
     readonly healthPath: string;
   };
   readonly store: StoreSettings;
-  readonly gossip: { readonly seeds: readonly IpEndpoint[] };
+  readonly gossip: {
+    readonly seeds: readonly IpEndpoint[];
+    /** Nodes to expect before the fleet is known; bounds the store calls of a cold start. */
+    readonly expectedFleetSize: number;
+  };
   /** Services that this node routes to; empty: all. */
   readonly routing: { readonly services: readonly string[] };
   readonly log: { readonly level: 'error' | 'warn' | 'info' };
@@ -48,6 +55,8 @@
   gossipPort: values.gossip_port,
   linkPort: values.link_port,
   callPort: values.call_port,
+  advertisedGossipPort: values.advertised_gossip_port,
+  advertisedLinkPort: values.advertised_link_port,
   adminAddress: values.admin_address,
   adminPort: values.admin_port,
   adminToken: values.admin_token,
@@ -111,7 +120,7 @@
     node: toNode(node),
     backendServer: toBackendServer(backendServer),
     store: toStore(store),
-    gossip,
+    gossip: { seeds: gossip.seeds, expectedFleetSize: gossip.expected_fleet_size },
     routing,
     log,
     drain: { timeoutMs: drain.timeout_ms },
--- a/packages/config/src/settings-schema.ts
+++ b/packages/config/src/settings-schema.ts
@@ -16,6 +16,8 @@
     gossip_port: port(0),
     link_port: port(0),
     call_port: port(0),
+    advertised_gossip_port: port(0).default(0),
+    advertised_link_port: port(0).default(0),
     admin_address: ipAddress().default('127.0.0.1'),
     admin_port: port(0),
     admin_token: iniValue('a token of 0 to 200 visible ASCII characters', (text) =>
@@ -33,7 +35,10 @@
     url: httpUrl(),
     timeout_ms: wholeNumber('ms', 1, 60_000).default(storeTimeoutDefaultMs),
   }),
-  gossip: z.strictObject({ seeds: endpointList().default([]) }),
+  gossip: z.strictObject({
+    seeds: endpointList().default([]),
+    expected_fleet_size: wholeNumber('', 1, 1_000_000).default(1),
+  }),
   routing: z.strictObject({ services: nameList().default([]) }),
   log: z.strictObject({
     level: oneOf({ error: 'error', warn: 'warn', info: 'info' } as const).default('info'),
--- a/packages/distribution/src/test-fleet/test-fleet.ts
+++ b/packages/distribution/src/test-fleet/test-fleet.ts
@@ -1,4 +1,6 @@
+import type { SeedAddress } from '@sequoiafield/membership';
 import { SeededRandom } from '@sequoiafield/tables';
+import type { Snapshot } from '@sequoiafield/types';
 import { FakeNetwork, pauseClock, type PausedClock } from '@sequoiafield/test-kit';
 import { FakeStore, serviceBody } from './fake-store.js';
 import { addressOf, TestNode, type Mechanisms } from './test-node.js';
@@ -7,7 +9,11 @@
 
 /** Bodies of a configuration whose every section carries the version. */
 export const bodiesOf = (version: number): Record<string, string> => ({
-  mesh: JSON.stringify({ dataCentres: [], routeIndex: [], mark: version }),
+  mesh: JSON.stringify({
+    dataCentres: ['dc-0', 'dc-1', 'dc-2'].map((name) => ({ name })),
+    routeIndex: [],
+    mark: version,
+  }),
   rounds: serviceBody('rounds', version),
   settlement: serviceBody('settlement', version),
 });
@@ -22,6 +28,15 @@
 
   readonly nodes: TestNode[] = [];
 
+  /** Ids of nodes that announced draining. */
+  readonly drained = new Set<string>();
+
+  /** Highest version that each instance was seen serving. */
+  readonly servedVersions = new Map<string, number>();
+
+  /** Called after each swap with the number of the node. */
+  onInForce: (index: number, snapshot: Snapshot) => void = () => undefined;
+
   constructor(
     private readonly seed: number,
     private readonly mechanisms: Mechanisms = {},
@@ -38,11 +53,19 @@
   }
 
   /** Starts or restarts the node with a number. */
-  async startNode(index: number): Promise<TestNode> {
+  async startNode(index: number, joinSeeds?: readonly SeedAddress[]): Promise<TestNode> {
     const seeds = (): TestNode['self'][] =>
       this.nodes.filter((node) => node.self.address !== addressOf(index)).map((node) => node.self);
-    const node = new TestNode(index, this.seed, this.network, this.store, seeds, this.mechanisms);
-    await node.start(seeds().slice(0, 5));
+    const node = new TestNode(
+      index,
+      this.seed,
+      this.network,
+      this.store,
+      seeds,
+      this.mechanisms,
+      (snapshot) => this.onInForce(index, snapshot),
+    );
+    await node.start(joinSeeds ?? seeds().slice(0, 5));
     this.nodes[index - 1] = node;
     return node;
   }
--- a/packages/distribution/src/test-fleet/test-node.ts
+++ b/packages/distribution/src/test-fleet/test-node.ts
@@ -1,7 +1,8 @@
-import { SilentLogger } from '@sequoiafield/logger';
+import { logEvents, type Logger } from '@sequoiafield/logger';
 import {
   createMembership,
   type Membership,
+  type SeedAddress,
   type SpreadPolicy,
   type SuspicionPolicy,
 } from '@sequoiafield/membership';
@@ -34,6 +35,9 @@
 
   readonly snapshots: Snapshot[] = [];
 
+  /** Members that this node declared dead, in order. */
+  readonly evictions: string[] = [];
+
   readonly #loop: TickLoop;
 
   constructor(
@@ -43,6 +47,7 @@
     store: FakeStore,
     seeds: () => readonly MemberAnnouncement[],
     mechanisms: Mechanisms,
+    onInForce: (snapshot: Snapshot) => void,
   ) {
     const dataCentre = `dc-${index % 3}`;
     this.self = {
@@ -58,7 +63,11 @@
       backendVersion: 'v1',
     };
     const random = new SeededRandom(seed * 1000 + index);
-    const logger = new SilentLogger();
+    const logger: Logger = {
+      log: (event, fields) => {
+        if (event === logEvents.memberDead) this.evictions.push(String(fields?.memberId));
+      },
+    };
     const links = network.links(this.self.address, this.self.id);
     this.membership = createMembership({
       self: this.self,
@@ -81,11 +90,13 @@
       lastRefreshedAtMs: () => this.membership.lastRefreshedAtMs(),
       witnesses: () => this.membership.witnesses(),
       seeds,
+      onUnknownSeeds: (unknown) => this.membership.greet(unknown),
       guard: mechanisms.guard,
       onInForce: (snapshot) => {
         this.versions.push(snapshot.configVersion);
         this.snapshots.push(snapshot);
         this.membership.announceConfigVersion();
+        onInForce(snapshot);
       },
     });
     const systems = [...this.membership.systems, ...this.distribution.systems];
@@ -94,7 +105,7 @@
     });
   }
 
-  async start(seeds: readonly MemberAnnouncement[]): Promise<void> {
+  async start(seeds: readonly SeedAddress[]): Promise<void> {
     await this.membership.start();
     this.membership.join(seeds);
     this.distribution.start();
