--- a/packages/routing/src/candidate-sets.ts
+++ b/packages/routing/src/candidate-sets.ts
@@ -30,10 +30,12 @@
 /** Sets of services without a call for this long are no longer kept up to date. */
 const unusedAfterMs = 60_000;
 
+type SeenRow = Pick<MemberRow, 'incarnation' | 'state' | 'backendVersion' | 'dataCentre'>;
+
 interface ServiceSets {
   rows: readonly MemberRow[];
-  /** State of each row when the sets were built; rows are changed in place. */
-  states: readonly string[];
+  /** What counted of each row when the sets were built; rows are changed in place. */
+  seen: readonly SeenRow[];
   snapshot: Snapshot | undefined;
   byVersion: Map<string, readonly Candidate[]>;
   usedAtMs: number;
@@ -47,8 +49,19 @@
   readonly region: string;
 }
 
-const describeState = (row: MemberRow): string =>
-  `${row.incarnation}/${row.state}/${row.backendVersion}/${row.dataCentre}`;
+const copySeen = ({ incarnation, state, backendVersion, dataCentre }: MemberRow): SeenRow => ({
+  incarnation,
+  state,
+  backendVersion,
+  dataCentre,
+});
+
+const isUnchanged = (row: MemberRow, seen: SeenRow | undefined): boolean =>
+  seen !== undefined &&
+  row.state === seen.state &&
+  row.incarnation === seen.incarnation &&
+  row.backendVersion === seen.backendVersion &&
+  row.dataCentre === seen.dataCentre;
 
 /**
  * Subsets of each service's members, kept per backend version. They are rebuilt only when the
@@ -78,7 +91,6 @@
       if (nowMs - sets.usedAtMs > unusedAfterMs) this.#services.delete(service);
       else this.#check(service, nowMs);
     }
-    this.ranking.prune((id) => this.members.get(id) !== undefined);
   }
 
   candidatesOf(snapshot: Snapshot, service: string, backendVersion: string): readonly Candidate[] {
@@ -108,7 +120,7 @@
     if (known) return known;
     const sets: ServiceSets = {
       rows: [],
-      states: [],
+      seen: [],
       snapshot: undefined,
       byVersion: new Map(),
       usedAtMs: 0,
@@ -124,12 +136,10 @@
     const rows = this.members.ofService(service);
     const isSame =
       rows.length === sets.rows.length &&
-      rows.every(
-        (row, index) => row === sets.rows[index] && sets.states[index] === describeState(row),
-      );
+      rows.every((row, index) => row === sets.rows[index] && isUnchanged(row, sets.seen[index]));
     if (isSame) return;
     sets.rows = [...rows];
-    sets.states = rows.map(describeState);
+    sets.seen = rows.map(copySeen);
     sets.byVersion.clear();
   }
 
--- a/packages/routing/src/default-router.ts
+++ b/packages/routing/src/default-router.ts
@@ -1,4 +1,4 @@
-import { wallNowUnixMs, type System } from '@sequoiafield/tables';
+import { monotonicNowMs, wallNowUnixMs, type System } from '@sequoiafield/tables';
 import type {
   AttemptReport,
   MemberRow,
@@ -26,6 +26,9 @@
   readonly dead: WeighedCandidate[];
 }
 
+/** Rows of members that are gone are only a matter of memory, so they may stay for a while. */
+const pruneIntervalMs = 10_000;
+
 /** What the router reads. */
 export interface RouterSources {
   readonly snapshot: SnapshotView;
@@ -44,6 +47,10 @@
 
   readonly #sets: CandidateSets;
 
+  readonly #ranking: RendezvousRanking;
+
+  #prunedAtMs = 0;
+
   #compiledFrom: Snapshot | undefined;
 
   #table: RouteTable | undefined;
@@ -53,11 +60,12 @@
     private readonly sources: RouterSources,
     private readonly mechanisms: RoutingMechanisms,
   ) {
+    this.#ranking = new RendezvousRanking(place.selfId);
     this.#sets = new CandidateSets(
       place,
       sources.members,
       mechanisms.filter,
-      new RendezvousRanking(place.selfId),
+      this.#ranking,
       (snapshot, dataCentre) =>
         mechanisms.weights.weightOf(snapshot, dataCentre, wallNowUnixMs()) > 0,
     );
@@ -66,7 +74,11 @@
   /** Keeps subsets up to date and forgets members that are gone. */
   run(): void {
     this.#sets.run();
+    const nowMs = monotonicNowMs();
+    if (nowMs - this.#prunedAtMs < pruneIntervalMs) return;
+    this.#prunedAtMs = nowMs;
     const isKnown = (id: string): boolean => this.sources.members.get(id) !== undefined;
+    this.#ranking.prune(isKnown);
     this.mechanisms.ejector.prune(isKnown);
     this.mechanisms.loads.prune(isKnown);
   }
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -171,6 +171,11 @@
   prune: () => {},
 };
 const noFilter: RoutingMechanisms['filter'] = { standingOf: () => MemberStanding.Good };
+/** Does not fail open: a doubted member gets nothing. */
+const strictFilter: RoutingMechanisms['filter'] = {
+  standingOf: (row) =>
+    row.state === MemberState.Alive ? MemberStanding.Good : MemberStanding.Never,
+};
 const noWeights: RoutingMechanisms['weights'] = { weightOf: () => 1 };
 
 /** Believes reports only: `near-1` always reports that it is idle. */
@@ -358,4 +363,22 @@
   fc.assert(choiceProperty({}), options);
   assert.ok(fc.check(choiceProperty({ filter: noFilter }), options).failed);
   assert.ok(fc.check(choiceProperty({ weights: noWeights }), options).failed);
+  assert.ok(fc.check(choiceProperty({ filter: strictFilter }), options).failed);
+});
+
+test('retry storm: a service that fails every call gets few more attempts than calls', () => {
+  // Guards against retries that multiply the load of a failing service.
+  const countAttempts = (mechanisms: Partial<RoutingMechanisms>): number => {
+    const { router } = new World().create(mechanisms);
+    let attempts = 0;
+    for (let call = 0; call < 1000; call += 1) {
+      router.recordFirstAttempt(service);
+      attempts += 1;
+      for (let retry = 0; retry < 2 && router.takeRetry(service, 10); retry += 1) attempts += 1;
+    }
+    return attempts;
+  };
+  assert.ok(countAttempts({}) <= 1110);
+  const noBudget = { recordFirstAttempt: () => {}, take: () => true };
+  assert.equal(countAttempts({ budget: noBudget }), 3000);
 });
--- a/packages/stand-ins/src/backend-server/backend-server.ts
+++ b/packages/stand-ins/src/backend-server/backend-server.ts
@@ -43,7 +43,7 @@
 
   #running = 0;
 
-  #isDraining = false;
+  #drainingSinceMs: number | undefined;
 
   #onIdle: (() => void) | undefined;
 
@@ -86,8 +86,8 @@
 
   /** Sheds new calls and resolves when no call runs. */
   async drain(): Promise<void> {
-    if (!this.#isDraining) {
-      this.#isDraining = true;
+    if (this.#drainingSinceMs === undefined) {
+      this.#drainingSinceMs = monotonicNowMs();
       this.onDrain();
     }
     if (this.#running === 0) return;
@@ -102,9 +102,11 @@
 
   #registerControl(): void {
     this.#app.get('/-/health', (_request, reply) => {
+      const { health, healthLagMs } = this.behaviour;
+      const drainingSinceMs = this.#drainingSinceMs ?? Number.POSITIVE_INFINITY;
+      const isDrainShown = monotonicNowMs() - drainingSinceMs >= healthLagMs;
       const isOk =
-        this.behaviour.health === EndpointHonesty.LieGood ||
-        (this.behaviour.health === EndpointHonesty.Honest && !this.#isDraining);
+        health === EndpointHonesty.LieGood || (health === EndpointHonesty.Honest && !isDrainShown);
       return reply.code(isOk ? 200 : 503).send({ ok: isOk });
     });
     this.#app.get('/-/load', () => {
@@ -140,7 +142,7 @@
   #describe(): object {
     return {
       ...this.identity,
-      isDraining: this.#isDraining,
+      isDraining: this.#drainingSinceMs !== undefined,
       runningCalls: this.#running,
       warmth: this.#model.warmth(this.behaviour),
       behaviour: this.behaviour,
@@ -150,7 +152,8 @@
   async #serve(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const requestId = String(request.headers[requestIdHeader] ?? '');
     const { shedAtRunning } = this.behaviour;
-    if (this.#isDraining || (shedAtRunning > 0 && this.#running >= shedAtRunning)) {
+    const isDraining = this.#drainingSinceMs !== undefined;
+    if (isDraining || (shedAtRunning > 0 && this.#running >= shedAtRunning)) {
       this.ledger.record(LedgerEvent.Shed, requestId);
       return reply.code(503).header(refusedHeader, 'not-run').send({ requestId, refused: true });
     }
--- a/packages/stand-ins/src/backend-server/behaviour.ts
+++ b/packages/stand-ins/src/backend-server/behaviour.ts
@@ -54,6 +54,8 @@
   readonly load: EndpointHonesty;
   /** The load endpoint tells the state of this long ago. */
   readonly loadLagMs: number;
+  /** The health endpoint shows a drain this much later. */
+  readonly healthLagMs: number;
 }
 
 /** A warm and honest backend server with 10 slots and 10 ms per call. */
@@ -77,6 +79,7 @@
   health: EndpointHonesty.Honest,
   load: EndpointHonesty.Honest,
   loadLagMs: 0,
+  healthLagMs: 0,
 };
 
 /** Change of a behaviour; what is left out stays. */
@@ -115,6 +118,7 @@
     health: { enum: Object.values(EndpointHonesty) },
     load: { enum: Object.values(EndpointHonesty) },
     loadLagMs: count,
+    healthLagMs: count,
     fault: {
       type: 'object',
       additionalProperties: false,
