--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -96,8 +96,6 @@
 
   observedPercent = 0;
 
-  startedAtMs = 1;
-
   capacity = (): number => slots;
 
   serviceMs = (): number => 10;
@@ -133,7 +131,7 @@
         service: 's',
         backendVersion: 'v1',
         isDraining: this.isDraining,
-        startedAtMs: this.startedAtMs,
+        startedAtMs: 1,
       }),
       random: new SeededRandom(1),
       observation: { observedSharePercent: () => this.observedPercent },
@@ -369,9 +367,7 @@
     run: (harness, clock) =>
       harness.run(clock, 500, 0.5, (index) => ({ sequence: Math.floor(index / 2) })),
     countViolations: (harness) => harness.count(hasRun) - 25,
-    without: {
-      seen: { add: () => true, sweep: () => {} },
-    },
+    without: { seen: { add: () => true, sweep: () => {} } },
   },
 ];
 
--- a/packages/stand-ins/src/call-generator/call-generator.test.ts
+++ b/packages/stand-ins/src/call-generator/call-generator.test.ts
@@ -67,6 +67,5 @@
   assert.equal(outcomes[Outcome.WrongAnswer], 0);
   const set = { ledgers: ledgers.map((ledger) => ledger.entries()), isComplete: true };
   assert.deepEqual(findViolations(records, set), []);
-  const started = Object.values(Object.assign({}, ...set.ledgers) as Record<string, object>);
-  assert.equal(started.length, 300);
+  assert.equal(Object.keys(Object.assign({}, ...set.ledgers) as object).length, 300);
 });
