--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,9 +1,14 @@
-import yargs from 'yargs';
+import type { CommandModule } from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { addOperatorCommands } from './commands/index.js';
+import { nodeCommand } from './commands/node.js';
+import { ProcessContext } from './process-context.js';
+import { CommandLine } from './run-cli.js';
 
-yargs(hideBin(process.argv))
-  .scriptName('sequoiafield')
-  .version('0.1.0')
-  .strict()
-  .demandCommand(1)
-  .parse();
+const commandLine = addOperatorCommands(new CommandLine(new ProcessContext())).addPlain(
+  nodeCommand as CommandModule,
+);
+
+commandLine.run(hideBin(process.argv)).then((status) => {
+  process.exitCode = status;
+});
--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -42,8 +42,8 @@
   readonly seeds: () => readonly FloorSeed[];
   /** Called after each swap, for example with `Membership.announceConfigVersion`. */
   readonly onInForce?: (snapshot: Snapshot) => void;
-  /** Called with seeds of the store that are no members, for example with `Membership.greet`. */
-  readonly onUnknownSeeds?: (seeds: readonly Seed[]) => void;
+  /** Called with the seeds of a data centre whenever they are read. */
+  readonly onSeedsRead?: (seeds: readonly Seed[]) => void;
   /**
    * Smallest fleet size to poll for. A node that has not found its fleet yet would otherwise poll
    * as if it were alone, and a fleet that starts cold would overload the store.
@@ -123,7 +123,7 @@
   holder.onSwap((snapshot) => options.onInForce?.(snapshot));
   const seeds = new SeedsKeeper(headSource, members, random, {
     dataCentres: () => holder.current?.mesh.dataCentres.map(({ name }) => name) ?? [],
-    onUnknownSeeds: (unknown) => options.onUnknownSeeds?.(unknown),
+    onSeedsRead: (read) => options.onSeedsRead?.(read),
   });
   const view: SnapshotView = {
     current: () => holder.current,
--- a/packages/distribution/src/test-fleet/test-node.ts
+++ b/packages/distribution/src/test-fleet/test-node.ts
@@ -90,7 +90,8 @@
       lastRefreshedAtMs: () => this.membership.lastRefreshedAtMs(),
       witnesses: () => this.membership.witnesses(),
       seeds,
-      onUnknownSeeds: (unknown) => this.membership.greet(unknown),
+      onSeedsRead: (read) =>
+        this.membership.greet(read.filter(({ id }) => !this.membership.view.get(id))),
       guard: mechanisms.guard,
       onInForce: (snapshot) => {
         this.versions.push(snapshot.configVersion);
