Keep urgent pushes ahead of a mass restart

Cause: each member that became alive was pushed at once by every node, so that a mass restart would have spent the byte budget that heads, verdicts and drains need. Change: only suspicion, refutation, draining, leaving and registers are pushed; a push that waited 3 s for the budget is dropped, since it travels as a rumour. Witnesses are found in one pass.

--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -36,6 +36,7 @@
 interface PendingPush {
   readonly key: string;
   readonly bytes: Uint8Array;
+  readonly sinceMs: number;
 }
 
 /** Options of one datagram. */
@@ -52,6 +53,8 @@
 const sentBurstBytes = 13_000;
 /** Pushes are gathered for this long, so that many at once share datagrams. */
 const pushGatherMs = 20;
+/** A push that waited longer for the byte budget has meanwhile travelled as a rumour. */
+const pushExpiryMs = 3000;
 
 /** What a gossip object needs of its node. */
 export interface GossipParts {
@@ -140,9 +143,17 @@
     this.#spread(`row ${row.id}`, encodeRow(row), isUrgent);
   }
 
-  /** Spreads a state of a member: suspicion, refutation, draining or leaving. */
-  spreadState(row: GossipRow, state: MemberState, observers: readonly string[] = []): void {
-    this.#spread(`state ${row.id}`, encodeState({ ...row, state, observers }), true);
+  /**
+   * Spreads a state of a member. Suspicion, refutation, draining and leaving are urgent; that a
+   * joining member became alive is not, since a mass restart would use up the byte budget.
+   */
+  spreadState(
+    row: GossipRow,
+    state: MemberState,
+    observers: readonly string[] = [],
+    isUrgent = true,
+  ): void {
+    this.#spread(`state ${row.id}`, encodeState({ ...row, state, observers }), isUrgent);
   }
 
   spreadRegister(entry: RegisterEntry): void {
@@ -163,14 +174,17 @@
     this.#queue.put(key, bytes);
     if (!isUrgent || this.parts.policy.pushFanOut === 0) return;
     this.#pending = this.#pending.filter((pending) => pending.key !== key);
-    this.#pending.push({ key, bytes });
-    if (monotonicNowMs() - this.#pushedAtMs >= pushGatherMs) this.#flush();
+    const nowMs = monotonicNowMs();
+    this.#pending.push({ key, bytes, sinceMs: nowMs });
+    if (nowMs - this.#pushedAtMs >= pushGatherMs) this.#flush();
   }
 
   #flush(): void {
     if (this.#pending.length === 0) return;
     if (!this.#budget.hasLeft()) {
       this.counters.deferredPushes += 1;
+      const expiredAtMs = monotonicNowMs() - pushExpiryMs;
+      this.#pending = this.#pending.filter(({ sinceMs }) => sinceMs > expiredAtMs);
       return;
     }
     this.#pushedAtMs = monotonicNowMs();
@@ -238,7 +252,8 @@
     if (!now) return;
     const isNew = wasIncarnation !== now.incarnation;
     if (isNew) this.spreadRow(now, false);
-    else this.spreadState(now, now.state);
+    else
+      this.spreadState(now, now.state, [], now.refutation > 0 || now.state !== MemberState.Alive);
   }
 
   #applyState(rumour: StateRumour): void {
--- a/packages/membership/src/peer-picker.ts
+++ b/packages/membership/src/peer-picker.ts
@@ -43,16 +43,22 @@
    */
   witnesses(count: number): readonly MemberRow[] {
     const { self } = this.members;
-    const ranked = this.members
-      .live()
-      .filter((row) => row.id !== self.id && row.state !== MemberState.Draining)
-      .map((row) => ({ row, weight: hashText(`${self.id} ${row.id}`) }))
-      .sort((left, right) => right.weight - left.weight)
-      .map(({ row }) => row);
-    const chosen = ranked.slice(0, count);
+    const weighed: { row: GossipRow; weight: number }[] = [];
+    let distant: { row: GossipRow; weight: number } | undefined;
+    for (const row of this.members.live()) {
+      if (row.id === self.id || row.state === MemberState.Draining) continue;
+      const candidate = { row, weight: hashText(`${self.id} ${row.id}`) };
+      const isDistant = row.dataCentre !== self.dataCentre;
+      if (isDistant && candidate.weight > (distant?.weight ?? -1)) distant = candidate;
+      if (weighed.length < count || candidate.weight > (weighed[count - 1]?.weight ?? 0)) {
+        weighed.push(candidate);
+        weighed.sort((left, right) => right.weight - left.weight);
+        weighed.length = Math.min(count, weighed.length);
+      }
+    }
+    const chosen = weighed.map(({ row }) => row);
     const isOneDistant = chosen.some((row) => row.dataCentre !== self.dataCentre);
-    const distant = ranked.find((row) => row.dataCentre !== self.dataCentre);
-    return isOneDistant || !distant ? chosen : [...chosen.slice(0, -1), distant];
+    return isOneDistant || !distant ? chosen : [...chosen.slice(0, -1), distant.row];
   }
 
   #isPeer(row: GossipRow, excluded: ReadonlySet<string>): boolean {
--- a/packages/membership/src/push-and-repair.ts
+++ b/packages/membership/src/push-and-repair.ts
@@ -1,7 +1,12 @@
 import type { RegisterEntry } from '@sequoiafield/types';
 import type { SpreadPolicy } from './policies.js';
 
-/** Push to 4 peers at first sight, repaired by digests. */
+/**
+ * Push to 4 peers at first sight, repaired by digests.
+ *
+ * @example
+ * createMembership({ ...options, spreadPolicy: new PushAndRepair() });
+ */
 export class PushAndRepair implements SpreadPolicy {
   readonly pushFanOut = 4;
 
--- a/packages/membership/src/quorum-suspicion.ts
+++ b/packages/membership/src/quorum-suspicion.ts
@@ -1,6 +1,11 @@
 import type { SuspicionPolicy } from './policies.js';
 
-/** Two observers and 3 s, so that one broken link evicts nobody. */
+/**
+ * Two observers and 3 s, so that one broken link evicts nobody.
+ *
+ * @example
+ * createMembership({ ...options, suspicionPolicy: new QuorumSuspicion() });
+ */
 export class QuorumSuspicion implements SuspicionPolicy {
   readonly indirectProbes = 3;
 
--- a/packages/membership/src/wire.ts
+++ b/packages/membership/src/wire.ts
@@ -130,18 +130,33 @@
   };
 };
 
-/** Encodes a whole row as an item. */
+/**
+ * Encodes a whole row as an item.
+ *
+ * @example
+ * const item = encodeRow(membershipRow);
+ */
 export const encodeRow = (row: GossipRow): Uint8Array =>
   packr.pack([ItemKind.Row, rowToTuple(row)]);
 
-/** Encodes a state rumour as an item of about 40 bytes. */
+/**
+ * Encodes a state rumour as an item of about 40 bytes.
+ *
+ * @example
+ * const item = encodeState({ ...row, state: MemberState.Draining, observers: [] });
+ */
 export const encodeState = (rumour: StateRumour): Uint8Array =>
   packr.pack([
     ItemKind.State,
     [rumour.id, rumour.incarnation, rumour.refutation, rumour.state, rumour.observers],
   ]);
 
-/** Encodes a register entry as an item. */
+/**
+ * Encodes a register entry as an item.
+ *
+ * @example
+ * const item = encodeRegister({ kind: RegisterKind.Head, key: 'head', rank: 7, body: head });
+ */
 export const encodeRegister = (entry: RegisterEntry): Uint8Array =>
   packr.pack([ItemKind.Register, [entry.kind, entry.key, entry.rank, entry.body]]);
 
@@ -205,7 +220,12 @@
     message.items,
   ]);
 
-/** Decodes a datagram; throws `MembershipError` on malformed or foreign bytes. */
+/**
+ * Decodes a datagram; throws `MembershipError` on malformed or foreign bytes.
+ *
+ * @example
+ * const { fromId, type } = decodeMessage(bytes);
+ */
 export const decodeMessage = (bytes: Uint8Array): Message => {
   const parts = asArray(unpack(bytes), 9, 'message');
   if (parts[0] !== wireTag) fail('wire tag');
