Allow the new version of a second move and refuse blocked ones

Cause: a table of 19 situations showed that a new move id after a take-back chose the version but did not allow it, and that the version of a move whose old version is not the stable one was allowed. Measured: the situations table passes.

--- a/packages/rollout/src/move-book.ts
+++ b/packages/rollout/src/move-book.ts
@@ -138,17 +138,18 @@
         allowed.add(move.intent.fromVersion).add(move.intent.toVersion);
         if (move.intent.fromVersion === stableVersion) stableVersion = move.intent.toVersion;
       }
-      const isNearStart = nowUnixMs >= move.intent.startAtUnixMs - clockSkewMaxMs;
-      if (!next && move.phase === MovePhase.Waiting && isNearStart) {
-        allowed.add(move.intent.toVersion);
-      }
+      // A caller whose clock is ahead may start the move before this node does.
+      const untilStartMs = move.intent.startAtUnixMs - nowUnixMs;
+      const isNearStart = untilStartMs > 0 && untilStartMs <= clockSkewMaxMs;
+      const isOnStable = move.intent.fromVersion === stableVersion;
+      if (isNearStart && isOnStable && !isTakenBack(move)) allowed.add(move.intent.toVersion);
     }
     this.#endWatches(moves, next);
-    if (next) allowed.add(next.intent.fromVersion).add(next.intent.toVersion);
     for (const move of moves) {
       const isStable = move.intent.toVersion === stableVersion;
       if (isTakenBack(move) && !isStable) allowed.delete(move.intent.toVersion);
     }
+    if (next) allowed.add(next.intent.fromVersion).add(next.intent.toVersion);
     this.#splits.set(section.service.name, {
       fromVersion: stableVersion,
       toVersion: next?.intent.toVersion ?? stableVersion,
