Compare versions only over the same period and add the fault tests

Change: the limit test takes only data centres where the old version is gone; a test of all routes together; the gate counts failures beyond the old version's rate of the same period; stages within the unproven cap go on by count; evidence slots are a seventh shorter; the outage check repeats its question, since other nodes answered before they noticed the outage.

--- a/packages/bench/src/moves/fixed-threshold-test.ts
+++ b/packages/bench/src/moves/fixed-threshold-test.ts
@@ -34,7 +34,11 @@
     return 0;
   }
 
-  oldFailureRate(): number {
+  beginStage(): void {
+    // The threshold knows no stages.
+  }
+
+  stageExcess(): number {
     return 0;
   }
 
--- a/packages/rollout/src/evidence-blocks.ts
+++ b/packages/rollout/src/evidence-blocks.ts
@@ -41,6 +41,12 @@
 
 const emptyPair = (): SidePair => ({ old: emptyCounts(), next: emptyCounts() });
 
+const emptyBlock = (): RouteBlock => ({
+  dataCentres: new Map<string, SidePair>(),
+  unanswered: emptyPair(),
+  reporters: new Map<string, SideCounts>(),
+});
+
 const valueOf = <Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value => {
   const known = map.get(key);
   if (known !== undefined) return known;
@@ -78,11 +84,7 @@
   read(evidence: EvidenceTable, filter: BlockFilter): Map<string, RouteBlock> {
     const blocks = new Map<string, RouteBlock>();
     for (const row of evidence.rows()) {
-      const block = valueOf(blocks, row.route, () => ({
-        dataCentres: new Map<string, SidePair>(),
-        unanswered: emptyPair(),
-        reporters: new Map<string, SideCounts>(),
-      }));
+      const block = valueOf(blocks, row.route, emptyBlock);
       this.#add(block, row, filter);
     }
     return blocks;
@@ -123,3 +125,28 @@
  * const total = newCounts();
  */
 export const newCounts = emptyCounts;
+
+const addPair = (sum: SidePair, pair: SidePair): void => {
+  addCounts(sum.old, pair.old);
+  addCounts(sum.next, pair.next);
+};
+
+/**
+ * Adds up the blocks of several routes.
+ *
+ * @example
+ * const all = mergeBlocks(blocks.values());
+ */
+export const mergeBlocks = (blocks: Iterable<RouteBlock>): RouteBlock => {
+  const merged = emptyBlock();
+  for (const { dataCentres, unanswered, reporters } of blocks) {
+    dataCentres.forEach((pair, name) =>
+      addPair(valueOf(merged.dataCentres, name, emptyPair), pair),
+    );
+    addPair(merged.unanswered, unanswered);
+    reporters.forEach((counts, id) =>
+      addCounts(valueOf(merged.reporters, id, emptyCounts), counts),
+    );
+  }
+  return merged;
+};
--- a/packages/rollout/src/fakes/fake-mesh.ts
+++ b/packages/rollout/src/fakes/fake-mesh.ts
@@ -9,7 +9,12 @@
 import { FakeNode, type FakeNodeOptions } from './fake-node.js';
 
 /** Decides what happens to one message: a delay for each copy that arrives, none if it is lost. */
-export type FakeNetwork = (from: FakeNode, to: FakeNode, random: RandomSource) => readonly number[];
+export type FakeNetwork = (
+  from: FakeNode,
+  to: FakeNode,
+  random: RandomSource,
+  isRegister: boolean,
+) => readonly number[];
 
 interface Delivery {
   readonly atMs: number;
@@ -42,6 +47,10 @@
 
   network: FakeNetwork = () => [usualDelayMs];
 
+  /** Whether a register takes an entry; tests replace the comparison of ranks. */
+  isAccepted = (known: RegisterEntry | undefined, entry: RegisterEntry): boolean =>
+    !known || entry.rank > known.rank;
+
   /** Switches on `sentBytes`. */
   isCountingBytes = false;
 
@@ -117,15 +126,15 @@
     const ids = [...this.#nodes.keys()].filter((id) => id !== fromId);
     for (let copies = 0; copies < pushFanOut && ids.length > 0; copies += 1) {
       const [id = ''] = ids.splice(this.random.below(ids.length), 1);
-      this.deliver(fromId, id, (receiver) => receiver.accept(entry, fromId));
+      this.deliver(fromId, id, (receiver) => receiver.accept(entry, fromId), true);
     }
   }
 
-  deliver(fromId: string, toId: string, run: (node: FakeNode) => void): void {
+  deliver(fromId: string, toId: string, run: (node: FakeNode) => void, isRegister = false): void {
     const from = this.#nodes.get(fromId);
     const to = this.#nodes.get(toId);
     if (!from || !to || this.#isCut(from, to)) return;
-    this.network(from, to, this.random).forEach((delayMs) =>
+    this.network(from, to, this.random, isRegister).forEach((delayMs) =>
       this.#deliveries.push({ atMs: this.nowMs + delayMs, toId, run }),
     );
   }
--- a/packages/rollout/src/fakes/fake-node.ts
+++ b/packages/rollout/src/fakes/fake-node.ts
@@ -113,7 +113,7 @@
   accept(entry: RegisterEntry, fromId: string): boolean {
     const key = `${entry.kind}\n${entry.key}`;
     const known = this.entries.get(key);
-    if (known && known.rank >= entry.rank) return false;
+    if (!this.mesh.isAccepted(known, entry)) return false;
     this.entries.set(key, entry);
     this.#registerHandlers
       .filter(([kind]) => kind === entry.kind)
--- a/packages/rollout/src/fakes/fake-traffic.ts
+++ b/packages/rollout/src/fakes/fake-traffic.ts
@@ -31,6 +31,8 @@
   /** Version whose calls the ledger counts. */
   readonly watchedVersion: string;
   run(call: FakeCall): FakeOutcome;
+  /** Told of each call that a backend server runs. */
+  readonly onCall?: (caller: FakeNode, version: string) => void;
   /** Whether an outcome is bad for the caller; failed and hung calls if left out. */
   readonly isBad?: (outcome: FakeOutcome) => boolean | undefined;
 }
@@ -94,6 +96,7 @@
     const version = caller.view.chooseVersion(service, random.next());
     const callee = version === undefined ? undefined : this.#choose(caller, nodes, version);
     if (version === undefined || !callee?.view.isAllowed(service, version)) return;
+    this.options.onCall?.(caller, version);
     const route = routes[random.below(routes.length)] ?? '';
     const { dataCentre } = callee.options;
     const { sharePercent = 0, provenStage = 0 } = caller.view.statuses()[0] ?? {};
--- a/packages/rollout/src/judge-system.ts
+++ b/packages/rollout/src/judge-system.ts
@@ -113,6 +113,7 @@
     if (judged.stage !== move.provenStage) {
       judged.stage = move.provenStage;
       judged.stageSinceMs = tick.nowMs;
+      judged.test.beginStage();
     }
     const isActive = move.phase === MovePhase.Active;
     if (!isActive || !this.snapshot.isServing() || !this.#hearsMost(move, tick.nowMs)) return;
--- a/packages/rollout/src/kind-test.ts
+++ b/packages/rollout/src/kind-test.ts
@@ -1,11 +1,11 @@
 import { BettingMixture } from './betting-mixture.js';
 import { limitLogFactor, twoSampleLogFactor, type BernoulliCounts } from './e-variables.js';
-import { Stratum, recentCallsMin, type CountsPair } from './stratum.js';
+import { Stratum, estimateKeep, type CountsPair } from './stratum.js';
 
-/** Part of the counts that stays after each block; about the last 20 blocks matter. */
-const windowKeep = 0.95;
-/** Part of the old version's counts that stays in the estimate after each block. */
-const estimateKeep = 0.98;
+/** Recent calls of a data centre before it is asked whether the new version breaks the limit. */
+const heardCallsMin = 3;
+/** Recent calls of a data centre before it can be called sick by itself. */
+const recentCallsMin = 10;
 /** Calls of the old version before its history limits the new one. */
 const historyCallsMin = 100;
 
@@ -16,9 +16,9 @@
 
 /**
  * Sequential tests of one route and one kind of evidence. `compared` tests new against old over the
- * same period within each data centre. `limited` tests new against a limit that is the lower of the
- * absolute limit and what the old version's history allows; it leaves out data centres in which both
- * versions are sick, or which are sick alone.
+ * same period within each data centre. `limited` takes the data centres where the old version has no
+ * calls any more, and tests new against the lower of the absolute limit and what the old version's
+ * history allows; a data centre that is sick alone is left out.
  *
  * @example
  * const test = new KindTest(0.02, 0.005);
@@ -34,6 +34,8 @@
 
   readonly #history = { calls: 0, bad: 0 };
 
+  #stageExcess = 0;
+
   constructor(
     /** Rate that the service's own limit allows. */
     private readonly absoluteLimit: number,
@@ -66,29 +68,38 @@
     return calls > 0 ? weighted / calls : 0;
   }
 
-  get hasRecentOld(): boolean {
-    return [...this.#strata.values()].some(({ hasRecentOld }) => hasRecentOld);
+  /** Bad calls of the new version since `beginStage` beyond what the old version's rate explains. */
+  get stageExcess(): number {
+    return Math.max(0, this.#stageExcess);
+  }
+
+  beginStage(): void {
+    this.#stageExcess = 0;
+  }
+
+  /**
+   * True if the limit is broken in most of the data centres that have no old version to compare
+   * with; one sick data centre is not enough.
+   */
+  get isLimitBrokenWidely(): boolean {
+    const strata = this.#withoutOld(heardCallsMin);
+    return this.#broken(strata).length * 2 > strata.length;
   }
 
   observe(dataCentres: ReadonlyMap<string, CountsPair>): void {
-    const { limitRate } = this;
-    const seen: [Stratum, CountsPair][] = [];
+    const limitedPairs: [Stratum, CountsPair][] = [];
     dataCentres.forEach((pair, name) => {
       const stratum = this.#strata.get(name) ?? new Stratum();
       this.#strata.set(name, stratum);
       this.#compare(stratum, pair);
-      stratum.blocksWithoutOld = pair.old.calls > 0 ? 0 : stratum.blocksWithoutOld + 1;
-      if (pair.next.calls > 0) {
-        stratum.oldRecent.add(pair.old, windowKeep);
-        stratum.newRecent.add(pair.next, windowKeep);
-        seen.push([stratum, pair]);
-      } else {
-        stratum.oldRecent.add(pair.old, 1);
-      }
+      stratum.add(pair);
+      const expected = pair.next.calls * stratum.expectedRate(this.oldHistoryRate);
+      this.#stageExcess += pair.next.bad - expected;
+      if (stratum.isOldGone) limitedPairs.push([stratum, pair]);
       this.#history.calls += pair.old.calls;
       this.#history.bad += pair.old.bad;
     });
-    this.#limit(seen, limitRate);
+    this.#limit(limitedPairs);
   }
 
   #compare(state: Stratum, pair: CountsPair): void {
@@ -105,16 +116,26 @@
     stratum.estimate.add(old, estimateKeep);
   }
 
-  #limit(seen: readonly [Stratum, CountsPair][], limitRate: number): void {
-    const isSickAlone = ({ newRecent }: Stratum): boolean =>
-      newRecent.calls >= recentCallsMin && newRecent.rate > limitRate;
-    const strata = [...this.#strata.values()].filter(({ newRecent }) => newRecent.calls > 0);
-    const sick = strata.filter(isSickAlone).length;
-    const isOneCentreSick = strata.length > 1 && sick * 2 <= strata.length;
-    const counted = seen.filter(
-      ([stratum]) => !stratum.areBothSick && !(isOneCentreSick && isSickAlone(stratum)),
+  #withoutOld(callsMin: number): Stratum[] {
+    return [...this.#strata.values()].filter(
+      ({ isOldGone, newRecent }) => isOldGone && newRecent.calls >= callsMin,
     );
-    const next = counted.map(([, pair]) => pair.next).reduce(sumCounts, { calls: 0, bad: 0 });
+  }
+
+  #broken(strata: readonly Stratum[]): Stratum[] {
+    return strata.filter(({ newRecent }) => newRecent.rate > this.limitRate);
+  }
+
+  /** Leaves out data centres that are sick alone. */
+  #limit(pairs: readonly [Stratum, CountsPair][]): void {
+    const { limitRate } = this;
+    const strata = this.#withoutOld(recentCallsMin);
+    const broken = this.#broken(strata);
+    const isOneCentreSick = strata.length > 1 && broken.length * 2 <= strata.length;
+    const next = pairs
+      .filter(([stratum]) => !isOneCentreSick || !broken.includes(stratum))
+      .map(([, pair]) => pair.next)
+      .reduce(sumCounts, { calls: 0, bad: 0 });
     if (next.calls === 0) return;
     this.limited.bet((rate) =>
       rate > 1.2 * limitRate ? limitLogFactor(next, limitRate, rate) : 0,
--- a/packages/rollout/src/outage-check.ts
+++ b/packages/rollout/src/outage-check.ts
@@ -5,8 +5,11 @@
 
 /** Members of other services that are asked. */
 const askedCount = 12;
-/** Time that they have to answer. */
-const answerTimeoutMs = 1500;
+/**
+ * Time from the first question to the decision. Questions are repeated until then and the last
+ * answers count, since an outage shows elsewhere a moment later than here.
+ */
+const decisionAfterMs = 1900;
 /** Answers needed before they can excuse a version. */
 const answersMin = 2;
 
@@ -19,6 +22,12 @@
   Local = 2,
 }
 
+interface RunningCheck {
+  readonly startedAtMs: number;
+  readonly askedIds: readonly string[];
+  readonly answers: Map<string, HealthState>;
+}
+
 interface HealthQuestion {
   readonly healthOf: string;
 }
@@ -36,7 +45,7 @@
  * if (check.ask('settlement-v2', 'settlement', nowMs) === OutageResult.Local) takeBack();
  */
 export class OutageCheck {
-  readonly #running = new Map<string, { startedAtMs: number; answers: Map<string, HealthState> }>();
+  readonly #running = new Map<string, RunningCheck>();
 
   constructor(
     private readonly members: MemberView,
@@ -47,18 +56,14 @@
     messenger.subscribe(DirectMessageKind.Evidence, (body, fromId) => this.#receive(body, fromId));
   }
 
-  /** Starts a check or returns its result; a result is returned once. */
+  /** Starts or goes on with a check, or returns its result; called each second until then. */
   ask(moveId: string, service: string, nowMs: number): OutageResult {
-    const check = this.#running.get(moveId);
-    if (!check) {
-      this.#running.set(moveId, { startedAtMs: nowMs, answers: new Map() });
+    const check = this.#running.get(moveId) ?? this.#start(moveId, service, nowMs);
+    if (nowMs - check.startedAtMs < decisionAfterMs) {
       const question: HealthQuestion = { healthOf: moveId };
-      this.#choose(service).forEach((id) =>
-        this.messenger.send(id, DirectMessageKind.Evidence, question),
-      );
+      check.askedIds.forEach((id) => this.messenger.send(id, DirectMessageKind.Evidence, question));
       return OutageResult.Waiting;
     }
-    if (nowMs - check.startedAtMs < answerTimeoutMs) return OutageResult.Waiting;
     this.#running.delete(moveId);
     const answers = [...check.answers.values()];
     const sick = answers.filter((state) => state === HealthState.Sick).length;
@@ -66,6 +71,13 @@
     return known >= answersMin && sick * 2 >= known ? OutageResult.General : OutageResult.Local;
   }
 
+  #start(moveId: string, service: string, nowMs: number): RunningCheck {
+    const askedIds = this.#choose(service);
+    const check = { startedAtMs: nowMs, askedIds, answers: new Map<string, HealthState>() };
+    this.#running.set(moveId, check);
+    return check;
+  }
+
   #choose(service: string): string[] {
     const others = [...this.members.all()].filter(
       (member) => isLive(member) && member.service !== service,
--- /dev/null
+++ b/packages/rollout/src/sequential-test.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SeededRandom, type RandomSource } from '@sequoiafield/tables';
+import fc from 'fast-check';
+import { matchSnapshot } from '@sequoiafield/test-kit';
+import { BettingMixture } from './betting-mixture.js';
+import { limitLogFactor, twoSampleLogFactor, type BernoulliCounts } from './e-variables.js';
+import { KindTest } from './kind-test.js';
+
+const logThreshold = Math.log(20); // alpha 0.05, so that a few hundred runs show a violation
+
+const draw = (calls: number, rate: number, random: RandomSource): BernoulliCounts => {
+  let bad = 0;
+  for (let call = 0; call < calls; call += 1) if (random.next() < rate) bad += 1;
+  return { calls, bad };
+};
+
+/** Common rate of both versions in a block. */
+type Rate = (block: number) => number;
+const nullRates: Readonly<Record<string, Rate>> = {
+  'steady 0.2 %': () => 0.002,
+  'steady 5 %': () => 0.05,
+  'steady 50 %': () => 0.5,
+  'outages of both': (block) => (block % 50 < 10 ? 0.4 : 0.01),
+};
+
+const rejectionsPercent = (
+  rate: Rate,
+  newCalls: number,
+  createTest: () => { observe(old: BernoulliCounts, next: BernoulliCounts): number },
+): number => {
+  const runs = 300;
+  let rejections = 0;
+  for (let run = 0; run < runs; run += 1) {
+    const random = new SeededRandom(1000 + run);
+    const sequential = createTest();
+    for (let block = 0; block < 200; block += 1) {
+      const old = draw(30, rate(block), random);
+      const next = draw(newCalls, rate(block), random);
+      if (sequential.observe(old, next) >= logThreshold) {
+        rejections += 1;
+        break;
+      }
+    }
+  }
+  return (100 * rejections) / runs;
+};
+
+const comparing = () => {
+  const kind = new KindTest(0.02, 0.005);
+  return {
+    observe: (old: BernoulliCounts, next: BernoulliCounts) => {
+      kind.observe(new Map([['dc-1', { old, next }]]));
+      return kind.compared.logWealth;
+    },
+  };
+};
+
+/** Bets with the likelihood ratio against the old version's estimate instead of the weighted mean. */
+const betweenPlainRates = () => {
+  const mixture = new BettingMixture();
+  let seen = { calls: 40, bad: 0.2 };
+  return {
+    observe: (old: BernoulliCounts, next: BernoulliCounts) => {
+      const oldRate = seen.bad / seen.calls;
+      mixture.bet((rate) => (rate > oldRate ? limitLogFactor(next, oldRate, rate) : 0));
+      seen = { calls: seen.calls + old.calls, bad: seen.bad + old.bad };
+      return mixture.logWealth;
+    },
+  };
+};
+
+test('rejections under the null hypothesis stay below alpha at every stop', () => {
+  // Guards against a test that looks each second and so rejects good versions far more often than
+  // alpha says. The plain ratio is the mechanism switched off: it blames one version for an outage
+  // of both.
+  const rows = Object.entries(nullRates).flatMap(([name, rate]) =>
+    [1, 30].map((newCalls) => {
+      const percent = rejectionsPercent(rate, newCalls, comparing);
+      const plain = rejectionsPercent(rate, newCalls, betweenPlainRates);
+      assert.ok(percent <= 5, `${name}: ${percent} % rejected`);
+      return { name, newCalls, percent, plain };
+    }),
+  );
+  const outages = rows.filter(({ name }) => name === 'outages of both');
+  assert.ok(outages.every(({ plain }) => plain > 5));
+  const table = rows.map(
+    ({ name, newCalls, percent, plain }) =>
+      `${name}, 30 old and ${newCalls} new calls: ${percent.toFixed(1)}, plain ${plain.toFixed(1)}`,
+  );
+  matchSnapshot(import.meta.filename, 'percent rejected in 200 blocks', table.join('\n'));
+});
+
+test('the expectation of one two-sample block is at most 1', () => {
+  // Guards against a wrong weight of the mean, which makes the product grow under the null.
+  const choose = (n: number, k: number): number => {
+    let result = 1;
+    for (let i = 1; i <= k; i += 1) result = (result * (n - k + i)) / i;
+    return result;
+  };
+  const probability = (n: number, k: number, rate: number): number =>
+    choose(n, k) * rate ** k * (1 - rate) ** (n - k);
+  const rate = fc.double({ min: 0.001, max: 0.98, noNaN: true });
+  const calls = fc.integer({ min: 1, max: 8 });
+  fc.assert(
+    fc.property(rate, rate, rate, calls, calls, (common, oldRate, newRate, oldCalls, newCalls) => {
+      let expectation = 0;
+      for (let a = 0; a <= oldCalls; a += 1) {
+        for (let b = 0; b <= newCalls; b += 1) {
+          const old = { calls: oldCalls, bad: a };
+          const next = { calls: newCalls, bad: b };
+          expectation +=
+            probability(oldCalls, a, common) *
+            probability(newCalls, b, common) *
+            Math.exp(twoSampleLogFactor(old, next, oldRate, newRate));
+        }
+      }
+      assert.ok(expectation <= 1 + 1e-9, `expectation ${expectation}`);
+    }),
+    { seed: 5, numRuns: 300 },
+  );
+});
--- a/packages/rollout/src/sequential-version-test.ts
+++ b/packages/rollout/src/sequential-version-test.ts
@@ -1,5 +1,5 @@
 import type { ServiceIntent } from '@sequoiafield/types';
-import type { RouteBlock } from './evidence-blocks.js';
+import { mergeBlocks, type RouteBlock } from './evidence-blocks.js';
 import { RouteTests } from './route-tests.js';
 import { EvidenceKind, type Finding, type VersionTest } from './version-test.js';
 
@@ -11,8 +11,8 @@
 const percent = (rate: number): string => `${(rate * 100).toFixed(2)} %`;
 
 /**
- * Tests the new version of one move against the old one: two-sample E-processes per route and kind
- * of evidence, and the service's absolute limits. `alphaPerMove` is split evenly over routes, kinds,
+ * Tests the new version of one move against the old one: two-sample E-processes per route, for
+ * all routes together and per kind of evidence, and the service's absolute limits. `alphaPerMove` is split evenly over routes, kinds,
  * both tests and the nodes that judge.
  *
  * @example
@@ -23,6 +23,9 @@
 export class SequentialVersionTest implements VersionTest {
   readonly #routes = new Map<string, RouteTests>();
 
+  /** A defect of all routes shows here first, since the counts are higher. */
+  readonly #allRoutes: RouteTests;
+
   readonly #logThreshold: number;
 
   constructor(
@@ -30,7 +33,8 @@
     routeCount: number,
     judgeCount: number,
   ) {
-    const tests = Math.max(1, routeCount) * testsPerRoute * Math.max(1, judgeCount);
+    const tests = (Math.max(1, routeCount) + 1) * testsPerRoute * Math.max(1, judgeCount);
+    this.#allRoutes = new RouteTests(service);
     this.#logThreshold = Math.log(tests / alphaPerMove);
   }
 
@@ -40,10 +44,11 @@
       this.#routes.set(route, tests);
       tests.observe(block);
     });
+    this.#allRoutes.observe(mergeBlocks(blocks.values()));
   }
 
   finding(): Finding | undefined {
-    for (const [route, tests] of this.#routes) {
+    for (const [route, tests] of [['*', this.#allRoutes] as const, ...this.#routes]) {
       for (const kind of Object.values(EvidenceKind)) {
         const finding = this.#findingOf(route, tests, kind);
         if (finding) return finding;
@@ -53,7 +58,7 @@
   }
 
   logSuspicion(): number {
-    const kinds = [...this.#routes.values()].flatMap((tests) => Object.values(tests.kinds));
+    const kinds = this.#all().flatMap((tests) => Object.values(tests.kinds));
     const wealths = kinds.flatMap(({ compared, limited }) => [
       compared.logWealth,
       limited.logWealth,
@@ -61,27 +66,33 @@
     return Math.max(0, ...wealths);
   }
 
-  oldFailureRate(): number {
-    const histories = [...this.#routes.values()].map(({ oldHistory }) => oldHistory);
-    const calls = histories.reduce((sum, history) => sum + history.calls, 0);
-    const failures = histories.reduce((sum, history) => sum + history.failures, 0);
-    return calls > 0 ? failures / calls : 0;
+  beginStage(): void {
+    this.#allRoutes.kinds[EvidenceKind.Failures].beginStage();
+  }
+
+  stageExcess(): number {
+    return this.#allRoutes.kinds[EvidenceKind.Failures].stageExcess;
   }
 
   forgetUncompared(): void {
-    this.#routes.forEach(({ kinds }) => {
+    this.#all().forEach(({ kinds }) => {
       Object.values(kinds).forEach(({ limited }) => limited.reset());
     });
   }
 
+  #all(): RouteTests[] {
+    return [this.#allRoutes, ...this.#routes.values()];
+  }
+
   #findingOf(route: string, tests: RouteTests, kind: EvidenceKind): Finding | undefined {
     const test = tests.kinds[kind];
     const isWorse = test.compared.logWealth >= this.#logThreshold && test.excess >= test.material;
-    const isOverLimit = test.limited.logWealth >= this.#logThreshold;
+    const isOverLimit = test.limited.logWealth >= this.#logThreshold && test.isLimitBrokenWidely;
     if ((!isWorse && !isOverLimit) || !tests.isSeenByMany(kind)) return undefined;
+    const where = route === '*' ? 'all routes' : `route ${route}`;
     const reason = isWorse
-      ? `${kind} on route ${route}: ${percent(test.excess)} more than the old version`
-      : `${kind} on route ${route}: more than ${percent(test.limitRate)}`;
-    return { route, kind, reason, needsOutageCheck: !isWorse && !test.hasRecentOld };
+      ? `${kind} on ${where}: ${percent(test.excess)} more than the old version`
+      : `${kind} on ${where}: more than ${percent(test.limitRate)}`;
+    return { route, kind, reason, needsOutageCheck: !isWorse };
   }
 }
--- a/packages/rollout/src/stage-gate.ts
+++ b/packages/rollout/src/stage-gate.ts
@@ -2,7 +2,13 @@
 import { EvidenceSource, VersionSide } from './evidence-row.js';
 import type { BlockFilter } from './evidence-blocks.js';
 import type { MoveState } from './move-state.js';
-import { plannedFullAtFraction, plannedPercent, stageCapPercent, stageCount } from './shares.js';
+import {
+  plannedFullAtFraction,
+  plannedPercent,
+  stageCapPercent,
+  stageCount,
+  unprovenStageCount,
+} from './shares.js';
 import type { VersionTest } from './version-test.js';
 
 /**
@@ -18,7 +24,7 @@
  * Part of the plan's time after which the floor is enough. Until then a busy service gathers as much
  * evidence as the time allows.
  */
-const slotEnd = [0.15, 0.28, 0.48, 0.65, 0.82, 0.93, 1.03] as const;
+const slotEnd = [0.12, 0.22, 0.4, 0.56, 0.72, 0.84, 1] as const;
 /** Strength of evidence against the new version from which the stage is held: E-value 20. */
 const logSuspicionMax = Math.log(20);
 /** Shortest stay at a stage: this part of the time from start to finish, and 1 s. */
@@ -41,21 +47,14 @@
   isProven(input: GateInput): boolean;
 }
 
-const countStage = (move: MoveState, filter: BlockFilter): { calls: number; failures: number } => {
+const countStage = (move: MoveState, filter: BlockFilter): number => {
   let calls = 0;
-  let failures = 0;
   for (const row of move.evidence.rows()) {
-    const isEnded = row.source === EvidenceSource.Ended;
-    const isCounted = isEnded
-      ? filter.isDataCentreCounted(row.dataCentre)
-      : filter.isUnansweredCounted();
     const isFresh = row.side === VersionSide.New && row.stage === move.provenStage;
-    if (isFresh && isCounted) {
-      calls += row.calls;
-      failures += row.failures;
-    }
+    const isEnded = row.source === EvidenceSource.Ended;
+    if (isFresh && isEnded && filter.isDataCentreCounted(row.dataCentre)) calls += row.calls;
   }
-  return { calls, failures };
+  return calls;
 };
 
 const isSlotOver = (intent: MoveIntent, stage: number, nowUnixMs: number): boolean => {
@@ -65,7 +64,8 @@
 
 /**
  * Proves a stage by fresh calls at that stage: the target number of calls, or the floor once the
- * stage's time is over. Each failure beyond the old version's rate asks for the floor once more.
+ * stage's time is over. From the 5 % stage on, each failure beyond the old version's rate asks for
+ * the floor once more, and strong evidence against the version holds the stage.
  *
  * @example
  * if (gate.isProven(input)) registers.publishStage(move.intent, move.provenStage + 1);
@@ -78,12 +78,17 @@
     if (plannedPercent(intent, nowUnixMs) < stageCapPercent(intent, provenStage)) return false;
     const durationMs = intent.finishByUnixMs - intent.startAtUnixMs;
     const dwellMs = Math.max(dwellMinMs, durationMs * dwellFraction);
-    if (nowMs - stageSinceMs < dwellMs || test.logSuspicion() > logSuspicionMax) return false;
-    const { calls, failures } = countStage(move, input.filter);
-    const excess = Math.max(0, failures - calls * test.oldFailureRate());
+    if (nowMs - stageSinceMs < dwellMs) return false;
+    const calls = countStage(move, input.filter);
+    const excess = test.stageExcess();
+    const isFloorEnough = isSlotOver(intent, provenStage, nowUnixMs);
+    const floor = callsFloor[provenStage] ?? 0;
+    const target = callsTarget[provenStage] ?? 0;
+    // The 2 and the 5 % stage stay within the cap for unproven versions, and evidence comes faster.
+    if (provenStage < unprovenStageCount - 1 && isFloorEnough && calls >= floor) return true;
+    if (test.logSuspicion() > logSuspicionMax) return false;
     const limitRate = move.service.failureLimitPercent / 100;
-    if (calls >= (callsTarget[provenStage] ?? 0)) return excess <= 2 + (calls * limitRate) / 2;
-    const needed = (callsFloor[provenStage] ?? 0) * (1 + excess);
-    return calls >= needed && isSlotOver(intent, provenStage, nowUnixMs);
+    if (calls >= target && excess <= 2 + (calls * limitRate) / 2) return true;
+    return isFloorEnough && calls >= floor * (1 + excess);
   }
 }
--- a/packages/rollout/src/stratum.ts
+++ b/packages/rollout/src/stratum.ts
@@ -10,12 +10,12 @@
 /** Prior of the old version's rate: what is assumed before it has been seen. */
 const priorRate = 0.005;
 const priorCalls = 40;
-/** Recent calls of a data centre before it can be called sick by itself. */
-export const recentCallsMin = 10;
-/** Blocks without a call of the old version after which its recent rate says nothing any more. */
-const oldBlocksMax = 5;
-/** Old-version rate, relative to the new one's, from which both are sick. */
-const bothSickFactor = 0.7;
+/** Fewest blocks without a call of the old version after which it counts as gone. */
+const oldBlocksMin = 10;
+/** Part of the recent counts that stays after each block; about the last 20 blocks matter. */
+const windowKeep = 0.95;
+/** Part of the old version's counts that stays in the estimate after each block. */
+export const estimateKeep = 0.98;
 
 /** What is kept of one data centre. */
 export class Stratum {
@@ -33,14 +33,28 @@
     return Math.min(0.9, Math.max(0.0005, rate));
   }
 
-  /** Blocks since the last call of the old version. */
-  blocksWithoutOld = 0;
+  /** Part of the blocks that had a call of the old version, over the last 50 or so. */
+  #oldBlocksPart = 1;
 
-  get hasRecentOld(): boolean {
-    return this.oldRecent.calls >= recentCallsMin && this.blocksWithoutOld <= oldBlocksMax;
+  #blocksWithoutOld = 0;
+
+  /** Adds one block; the recent windows move on only when the new version has a call. */
+  add(pair: CountsPair): void {
+    const hasOld = pair.old.calls > 0;
+    this.#blocksWithoutOld = hasOld ? 0 : this.#blocksWithoutOld + 1;
+    this.#oldBlocksPart = estimateKeep * this.#oldBlocksPart + (hasOld ? 1 - estimateKeep : 0);
+    const keep = pair.next.calls > 0 ? windowKeep : 1;
+    this.oldRecent.add(pair.old, keep);
+    this.newRecent.add(pair.next, keep);
+  }
+
+  /** True once the old version has had no call here for much longer than usual. */
+  get isOldGone(): boolean {
+    return this.#blocksWithoutOld > oldBlocksMin + 5 / Math.max(0.02, this.#oldBlocksPart);
   }
 
-  get areBothSick(): boolean {
-    return this.hasRecentOld && this.oldRecent.rate > bothSickFactor * this.newRecent.rate;
+  /** Rate of bad calls that any version has here now. */
+  expectedRate(historyRate: number): number {
+    return this.isOldGone ? historyRate : this.oldRecent.rate;
   }
 }
--- /dev/null
+++ b/packages/rollout/src/verdict-writer.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MoveVerdict } from '@sequoiafield/types';
+import {
+  fakeDataCentres,
+  fakeMove,
+  fakeService,
+  fakeSnapshot,
+} from './fakes/fake-configuration.js';
+import { FakeMesh } from './fakes/fake-mesh.js';
+import type { VerdictBody } from './move-state.js';
+import { verdictEntry } from './registers.js';
+import type { VerdictStore } from './verdict-writer.js';
+
+const startUnixMs = Date.UTC(2026, 0, 1);
+const verdictOf = (verdict: MoveVerdict): VerdictBody => ({
+  ...{ moveId: 'settlement-v2', service: fakeService, verdict, reason: 'test' },
+  atUnixMs: startUnixMs,
+});
+
+class FakeStore implements VerdictStore {
+  isDown = false;
+
+  kept: VerdictBody | undefined;
+
+  reads = 0;
+
+  writes = 0;
+
+  async read(): Promise<VerdictBody | undefined> {
+    this.reads += 1;
+    if (this.isDown) throw new Error('store is down');
+    return this.kept;
+  }
+
+  async write(verdict: VerdictBody): Promise<void> {
+    if (this.isDown) throw new Error('store is down');
+    this.writes += 1;
+    this.kept = verdict;
+  }
+}
+
+const advance = async (mesh: FakeMesh, seconds: number): Promise<void> => {
+  for (let tick = 0; tick < seconds * 10; tick += 1) {
+    mesh.advance(100);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+};
+
+const createMesh = (store: VerdictStore): FakeMesh => {
+  const mesh = new FakeMesh(3, startUnixMs);
+  mesh.snapshot = fakeSnapshot({ moves: [fakeMove(startUnixMs)] });
+  for (let index = 0; index < 12; index += 1) {
+    const dataCentre = fakeDataCentres[index % 3] ?? '';
+    const id = `${dataCentre}-${index}`;
+    mesh.add({ id, dataCentre, service: fakeService, backendVersion: 'v1', verdictStore: store });
+  }
+  return mesh;
+};
+
+test('a verdict given while the store is down is written once it answers, by few nodes', async () => {
+  // Guards against a lost verdict, and against every node of a service writing it at the same time.
+  const store = new FakeStore();
+  const mesh = createMesh(store);
+  store.isDown = true;
+  mesh.node('dc-1-0').publish(verdictEntry(verdictOf(MoveVerdict.TakenBack)));
+  await advance(mesh, 60);
+  assert.ok(store.reads <= 20, `${store.reads} reads in 60 s of outage`);
+  assert.equal(store.kept, undefined);
+  store.isDown = false;
+  await advance(mesh, 90);
+  mesh.close();
+  assert.deepEqual(store.kept, verdictOf(MoveVerdict.TakenBack));
+  assert.ok(store.writes <= 2, `${store.writes} writes`);
+});
+
+test('a fleet that restarts as a whole learns the verdict from the store', async () => {
+  // Guards against a bad version that gets traffic again because every node forgot the verdict.
+  const store = new FakeStore();
+  store.kept = verdictOf(MoveVerdict.TakenBack);
+  const mesh = createMesh(store);
+  await advance(mesh, 5);
+  const verdicts = mesh.nodes().map(({ view }) => view.statuses()[0]?.verdict);
+  mesh.close();
+  assert.ok(verdicts.every((verdict) => verdict === MoveVerdict.TakenBack));
+  assert.equal(store.writes, 0);
+});
+
+test('a done move does not replace a stored take-back', async () => {
+  // Guards against a late "done" that lifts a take-back.
+  const store = new FakeStore();
+  store.kept = verdictOf(MoveVerdict.TakenBack);
+  const mesh = createMesh(store);
+  mesh.node('dc-1-0').publish(verdictEntry(verdictOf(MoveVerdict.Done)));
+  await advance(mesh, 15);
+  const status = mesh.node('dc-2-1').view.statuses()[0];
+  mesh.close();
+  assert.equal(status?.verdict, MoveVerdict.TakenBack);
+  assert.equal(store.kept.verdict, MoveVerdict.TakenBack);
+});
--- a/packages/rollout/src/version-test.ts
+++ b/packages/rollout/src/version-test.ts
@@ -24,8 +24,10 @@
   finding(): Finding | undefined;
   /** Natural logarithm of the strongest evidence against the new version; 0 says nothing. */
   logSuspicion(): number;
-  /** Old version's failure rate so far on all routes, for the stage gate. */
-  oldFailureRate(): number;
+  /** Starts to count `stageExcess` anew. */
+  beginStage(): void;
+  /** Failures of the new version at this stage beyond what the old version's rate explains. */
+  stageExcess(): number;
   /** Drops what was gathered without old-version traffic, after a general outage was recognised. */
   forgetUncompared(): void;
 }
