--- a/packages/integration-tests/src/demo/main.ts
+++ b/packages/integration-tests/src/demo/main.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from 'node:timers/promises';
-import { LocalMesh, type InstancePlan, type LoadOutcome } from '@sequoiafield/stand-ins';
+import { FaultKind, LocalMesh, type InstancePlan, type LoadOutcome } from '@sequoiafield/stand-ins';
 import { buildBundles } from '../build.js';
 import { kerasmaFiles, withMove, type ConfigurationFiles } from '../configurations.js';
 
@@ -71,7 +71,7 @@
   const good = await runMove(mesh, files, ['settlement-v2', 'v1', 'v2']);
   report(good.outcome);
   say('4. Settlement moves from v2 to v3, which fails a third of its calls.');
-  await mesh.instance('s6').change({ fault: { kind: 'fail', percent: 33 } as never });
+  await mesh.instance('s6').change({ fault: { kind: FaultKind.Fail, percent: 33 } });
   const moved = Object.fromEntries(
     Object.entries(files).map(([name, text]) => [
       name,
