Drop answers for callers that are gone without an error

Cause: writing to a response whose caller has just closed emits an error that nothing handled, which ends the process; waiting for a slow caller left a listener per wait.

Change: the writer handles errors of the response, gives up a body that nobody reads, and removes its listeners.

--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { BodyChannel } from '@sequoiafield/transport';
 import { outcomeHeader, reasonHeader, requestIdHeader } from '@sequoiafield/types';
@@ -17,12 +16,19 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly requestId: string,
-  ) {}
+  ) {
+    // Writing to a caller that has just gone away emits an error, which would end the process.
+    response.on('error', () => undefined);
+  }
 
   /** Writes an answer; returns false if its body broke off, which the caller sees as a reset. */
   async writeAnswer(answer: CallAnswer): Promise<boolean> {
     const { response } = this;
     const { body } = answer;
+    if (response.destroyed) {
+      await body[Symbol.asyncIterator]().return?.();
+      return false;
+    }
     const whole = body instanceof BodyChannel ? body.takeWhole() : undefined;
     const headers = flattenHeaders(answer, this.requestId);
     if (whole) {
@@ -75,9 +81,22 @@
     const { response } = this;
     for await (const chunk of body) {
       if (response.destroyed) return;
-      if (!response.write(chunk))
-        await Promise.race([once(response, 'drain'), once(response, 'close')]);
+      if (!response.write(chunk)) await this.#whenWritable();
     }
     response.end();
   }
+
+  /** Waits until the caller has taken what was written or is gone. */
+  #whenWritable(): Promise<void> {
+    const { response } = this;
+    return new Promise((resolve) => {
+      const done = (): void => {
+        response.off('drain', done);
+        response.off('close', done);
+        resolve();
+      };
+      response.on('drain', done);
+      response.on('close', done);
+    });
+  }
 }
--- a/packages/calls/src/connections.test.ts
+++ b/packages/calls/src/connections.test.ts
@@ -157,3 +157,18 @@
   server.close();
   assert.deepEqual([response.status, attemptsDirect, attemptsLinked], [200, 1, 0]);
 });
+
+test('an answer for a caller that is gone is dropped, and a slow caller gets all of it', async () => {
+  // Guards against a process that ends on an unhandled error of a caller's connection.
+  const body = Buffer.alloc(4 * 1024 * 1024, 'b');
+  const [, origin] = await listen((_request, response) => response.end(body));
+  const { near } = await startPair(origin);
+  const gone = createConnection(near.calls.callPort, '127.0.0.1');
+  gone.write('GET /ok HTTP/1.1\r\nhost: a\r\n\r\n');
+  await waitUntil(() => gone.bytesRead > 0);
+  gone.destroy();
+  const response = await fetch(`${near.url}/ok`);
+  await setTimeout(100);
+  assert.equal((await response.arrayBuffer()).byteLength, body.byteLength);
+  await waitUntil(() => near.calls.counters.callsAnswered === 2);
+});
