Do not take one faulty backend server for a bad version

Change: each test also runs without each quarter of the new backend servers, and the weakest result must reach alpha 0.05; the comparison asks for more than the material difference by raising the old version's counts; unanswered attempts must last 15 s. The test of one server per data centre that fails alone is now undecided by design, so the test uses two servers there and keeps the single one as a case of its own.

--- a/packages/bench/src/moves/cases.ts
+++ b/packages/bench/src/moves/cases.ts
@@ -146,11 +146,23 @@
   ),
 ];
 
-/** Worse by less than a quarter of the failure limit, so not to be held or taken back. */
+/** One new backend server misbehaves for a while, at several stages; its version is not at fault. */
+const oneServer =
+  (change: Partial<Behaviour>, durationMs: number): Rule =>
+  ({ nodeId }, { nowMs }) =>
+    nodeId === 'dc-1-settlement-v2-0' && nowMs % 120_000 < durationMs ? change : undefined;
+
+/**
+ * Worse by less than a quarter of the failure limit, or a backend server at fault rather than its
+ * version: neither to be held nor taken back.
+ */
 const borderCases: readonly MoveCase[] = [
   create('good, 0.3 % worse, busy', false, 250, 4, (call) =>
     isNew(call) ? { failureRate: 0.004 } : undefined,
   ),
+  create('good, one new server fails 5 s', false, 40, 8, oneServer({ failureRate: 1 }, 5000)),
+  create('good, one new server cold 10 s', false, 40, 8, oneServer({ medianMs: 200 }, 10_000)),
+  create('good, one new server hangs 5 s', false, 40, 8, oneServer({ isHung: true }, 5000)),
 ];
 
 /** All cases, good ones first. */
--- a/packages/rollout/src/evidence-blocks.ts
+++ b/packages/rollout/src/evidence-blocks.ts
@@ -22,14 +22,20 @@
   readonly next: SideCounts;
 }
 
+/** Counts of the new version's calls on one backend server. */
+export interface ReporterCounts {
+  readonly dataCentre: string;
+  readonly counts: SideCounts;
+}
+
 /** What came in for one route. */
 export interface RouteBlock {
   /** Ended calls by the data centre of the reporting node. */
   readonly dataCentres: Map<string, SidePair>;
   /** Attempts that callers saw unanswered, from all data centres together. */
   readonly unanswered: SidePair;
-  /** New-version counts of each reporter beside a backend server since the move began. */
-  readonly reporters: Map<string, SideCounts>;
+  /** The new version's part of `dataCentres`, by reporter. */
+  readonly reporters: Map<string, ReporterCounts>;
 }
 
 const emptyCounts = (): SideCounts => ({
@@ -44,7 +50,7 @@
 const emptyBlock = (): RouteBlock => ({
   dataCentres: new Map<string, SidePair>(),
   unanswered: emptyPair(),
-  reporters: new Map<string, SideCounts>(),
+  reporters: new Map<string, ReporterCounts>(),
 });
 
 const valueOf = <Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value => {
@@ -94,9 +100,6 @@
     const id = evidenceRowId(row);
     const before = this.#before.get(id);
     const isEnded = row.source === EvidenceSource.Ended;
-    if (isEnded && row.side === VersionSide.New) {
-      addDifference(valueOf(block.reporters, row.reporterId, emptyCounts), row, undefined);
-    }
     if (before && before.calls === row.calls && before.overLimit === row.overLimit) return;
     const { calls, failures, overLimit } = row;
     this.#before.set(id, { calls, failures, overLimit, buckets: [...row.buckets] });
@@ -106,6 +109,13 @@
     if (!isCounted) return;
     const pair = isEnded ? valueOf(block.dataCentres, row.dataCentre, emptyPair) : block.unanswered;
     addDifference(row.side === VersionSide.New ? pair.next : pair.old, row, before);
+    if (!isEnded || row.side === VersionSide.Old) return;
+    const { reporterId, dataCentre } = row;
+    const reporter = valueOf(block.reporters, reporterId, () => ({
+      dataCentre,
+      counts: emptyCounts(),
+    }));
+    addDifference(reporter.counts, row, before);
   }
 }
 
@@ -144,9 +154,10 @@
       addPair(valueOf(merged.dataCentres, name, emptyPair), pair),
     );
     addPair(merged.unanswered, unanswered);
-    reporters.forEach((counts, id) =>
-      addCounts(valueOf(merged.reporters, id, emptyCounts), counts),
-    );
+    reporters.forEach(({ dataCentre, counts }, id) => {
+      const sum = valueOf(merged.reporters, id, () => ({ dataCentre, counts: emptyCounts() }));
+      addCounts(sum.counts, counts);
+    });
   }
   return merged;
 };
--- a/packages/rollout/src/evidence.test.ts
+++ b/packages/rollout/src/evidence.test.ts
@@ -119,7 +119,7 @@
 
 test('what counts against a version and what does not', () => {
   // Guards against hung servers that no node beside them reports, and against blaming a version for
-  // a data centre that is cut off or out.
+  // a data centre that is cut off or out, or for one faulty backend server.
   const hung: Scene = {
     run: (call) => ({ ...well, isHung: isNew(call) && call.random.next() < 0.5 }),
   };
@@ -127,8 +127,8 @@
     newIn: ['dc-3'],
     run: (call) => ({ ...well, isHung: isNew(call) && call.nowMs > 30_000 }),
   };
-  const failsInOne = (outDataCentres: readonly string[]): Scene => ({
-    outDataCentres,
+  const failsInOne = (outDataCentres: readonly string[], nodesPerCentre: number): Scene => ({
+    ...{ outDataCentres, nodesPerCentre },
     run: (call) => ({ ...well, hasFailed: isNew(call) && call.dataCentre === 'dc-1' }),
   });
   const [cutMesh, cutTraffic] = startScene(inCutCentre);
@@ -137,8 +137,9 @@
   const verdicts = {
     'half of the calls hang': finalVerdict(...startScene(hung), 40),
     'new version only in a data centre that is cut': finalVerdict(cutMesh, cutTraffic, 15),
-    'fails in one data centre': finalVerdict(...startScene(failsInOne([])), 40),
-    'fails in one data centre that is out': finalVerdict(...startScene(failsInOne(['dc-1'])), 40),
+    'two servers of one data centre fail': finalVerdict(...startScene(failsInOne([], 2)), 60),
+    'the same, data centre out': finalVerdict(...startScene(failsInOne(['dc-1'], 2)), 60),
+    'one server fails': finalVerdict(...startScene(failsInOne([], 1)), 60),
   };
   matchSnapshot(import.meta.filename, 'verdict by situation', verdicts);
 });
--- a/packages/rollout/src/fakes/fake-traffic.ts
+++ b/packages/rollout/src/fakes/fake-traffic.ts
@@ -9,6 +9,8 @@
   readonly route: string;
   readonly backendVersion: string;
   readonly dataCentre: string;
+  /** Id of the node beside the backend server. */
+  readonly nodeId: string;
   readonly nowMs: number;
   /** Share of the new version that the caller saw. */
   readonly sharePercent: number;
@@ -101,7 +103,16 @@
     const { dataCentre } = callee.options;
     const { sharePercent = 0, provenStage = 0 } = caller.view.statuses()[0] ?? {};
     const outcome = this.options.run({
-      ...{ service, route, backendVersion: version, dataCentre, nowMs, sharePercent, random },
+      ...{
+        service,
+        route,
+        backendVersion: version,
+        dataCentre,
+        nodeId: callee.id,
+        nowMs,
+        sharePercent,
+        random,
+      },
     });
     if (outcome.isHung) caller.recorder.recordUnanswered(service, route, version);
     else callee.recorder.recordEnded({ service, route, backendVersion: version, ...outcome });
--- a/packages/rollout/src/kind-test.ts
+++ b/packages/rollout/src/kind-test.ts
@@ -15,8 +15,8 @@
 });
 
 /**
- * Sequential tests of one route and one kind of evidence. `compared` tests new against old over the
- * same period within each data centre. `limited` takes the data centres where the old version has no
+ * Sequential tests of one route and one kind of evidence. `compared` tests over the same
+ * period within each data centre whether new is worse than old by more than the material difference. `limited` takes the data centres where the old version has no
  * calls any more, and tests new against the lower of the absolute limit and what the old version's
  * history allows; a data centre that is sick alone is left out.
  *
@@ -104,7 +104,7 @@
 
   #compare(state: Stratum, pair: CountsPair): void {
     const stratum = state;
-    const old = sumCounts(stratum.pending.old, pair.old);
+    const old = sumCounts(stratum.pending.old, this.#withMargin(pair.old));
     const next = sumCounts(stratum.pending.next, pair.next);
     stratum.pending = { old, next };
     if (old.calls === 0 || next.calls === 0) return;
@@ -116,6 +116,16 @@
     stratum.estimate.add(old, estimateKeep);
   }
 
+  /**
+   * Adds the material difference to the old version's bad calls, so that the test is about a
+   * difference that matters. This is the mean over marking each good call as bad with that
+   * probability; by Jensen's inequality the E-variable of the mean is at most the mean of the
+   * E-variables, so its expectation stays at most 1.
+   */
+  #withMargin({ calls, bad }: BernoulliCounts): BernoulliCounts {
+    return { calls, bad: bad + this.material * (calls - bad) };
+  }
+
   #withoutOld(callsMin: number): Stratum[] {
     return [...this.#strata.values()].filter(
       ({ isOldGone, newRecent }) => isOldGone && newRecent.calls >= callsMin,
--- a/packages/rollout/src/route-tests.ts
+++ b/packages/rollout/src/route-tests.ts
@@ -1,6 +1,14 @@
 import type { ServiceIntent } from '@sequoiafield/types';
-import { addCounts, newCounts, type RouteBlock, type SideCounts } from './evidence-blocks.js';
+import {
+  addCounts,
+  newCounts,
+  type RouteBlock,
+  type SideCounts,
+  type SidePair,
+} from './evidence-blocks.js';
+import type { BernoulliCounts } from './e-variables.js';
 import { KindTest } from './kind-test.js';
+import { SeparatedTest } from './separated-test.js';
 import { SlowLine } from './slow-line.js';
 import type { CountsPair } from './stratum.js';
 import { EvidenceKind } from './version-test.js';
@@ -11,67 +19,90 @@
 const slowMaterial = 0.03;
 /** Smallest difference in the failure rate that matters, as a part of the service's limit. */
 const materialPartOfLimit = 0.25;
-/** Calls of a reporter before its lack of bad calls says something. */
-const reporterCallsMin = 5;
+/**
+ * Seconds with unanswered attempts that it takes to blame the version. Callers eject a single hung
+ * backend server within a few seconds, and the attempts do not tell which one it was.
+ */
+const unansweredSecondsMin = 8;
+/** Shortest time from the first to the last of these seconds, and the pause that ends it. */
+const unansweredLastingS = 15;
+const unansweredPauseMaxS = 60;
 
 /** Tests of one route. */
 export class RouteTests {
-  readonly kinds: Readonly<Record<EvidenceKind, KindTest>>;
-
-  readonly line: SlowLine;
+  readonly kinds: Readonly<Record<EvidenceKind, SeparatedTest>>;
 
   readonly oldHistory = newCounts();
 
-  reporters: ReadonlyMap<string, SideCounts> = new Map();
+  readonly #line: SlowLine;
+
+  #second = 0;
+
+  /** Seconds with unanswered attempts since the last long pause, the first and the last of them. */
+  #unanswered = { count: 0, first: 0, last: 0 };
 
   constructor(service: ServiceIntent) {
     const failureLimit = service.failureLimitPercent / 100;
     const material = failureLimit * materialPartOfLimit;
+    const createForFailures = (): KindTest => new KindTest(failureLimit, material);
     this.kinds = {
-      [EvidenceKind.Failures]: new KindTest(failureLimit, material),
-      [EvidenceKind.Slow]: new KindTest(slowLimit, slowMaterial),
-      [EvidenceKind.Unanswered]: new KindTest(failureLimit, material),
+      [EvidenceKind.Failures]: new SeparatedTest(createForFailures),
+      [EvidenceKind.Slow]: new SeparatedTest(() => new KindTest(slowLimit, slowMaterial)),
+      [EvidenceKind.Unanswered]: new SeparatedTest(createForFailures),
     };
-    this.line = new SlowLine(service.latencyLimitMs);
+    this.#line = new SlowLine(service.latencyLimitMs);
   }
 
   observe(block: RouteBlock): void {
-    this.reporters = block.reporters;
-    const failures = new Map<string, CountsPair>();
-    const slow = new Map<string, CountsPair>();
+    this.#observeKind(EvidenceKind.Failures, block, ({ calls, failures }) => ({
+      calls,
+      bad: failures,
+    }));
+    this.#observeKind(EvidenceKind.Slow, block, (counts) => this.#line.count(counts));
     const ended = { old: newCounts(), next: newCounts() };
-    block.dataCentres.forEach(({ old, next }, name) => {
+    block.dataCentres.forEach(({ old, next }) => {
       addCounts(ended.old, old);
       addCounts(ended.next, next);
-      failures.set(name, {
-        old: { calls: old.calls, bad: old.failures },
-        next: { calls: next.calls, bad: next.failures },
-      });
-      slow.set(name, { old: this.line.count(old), next: this.line.count(next) });
-    });
-    this.kinds[EvidenceKind.Failures].observe(failures);
-    this.kinds[EvidenceKind.Slow].observe(slow);
-    const { unanswered } = block;
-    const withEnded = (side: 'old' | 'next'): { calls: number; bad: number } => ({
-      calls: ended[side].calls + unanswered[side].calls,
-      bad: unanswered[side].failures,
     });
-    const attempts = new Map([['', { old: withEnded('old'), next: withEnded('next') }]]);
-    this.kinds[EvidenceKind.Unanswered].observe(attempts);
+    this.#observeUnanswered(block, ended);
     addCounts(this.oldHistory, ended.old);
-    this.line.learn(this.oldHistory);
+    this.#line.learn(this.oldHistory);
   }
 
-  /**
-   * False if several backend servers of the new version have calls but only one has bad ones: then
-   * that backend server is at fault rather than the version.
-   */
-  isSeenByMany(kind: EvidenceKind): boolean {
-    if (kind === EvidenceKind.Unanswered) return true;
-    const withCalls = [...this.reporters.values()].filter(({ calls }) => calls >= reporterCallsMin);
-    const withBad = withCalls.filter((counts) =>
-      kind === EvidenceKind.Failures ? counts.failures > 0 : this.line.count(counts).bad > 0,
+  /** False while attempts without answer may come from one hung backend server. */
+  isLasting(kind: EvidenceKind): boolean {
+    if (kind !== EvidenceKind.Unanswered) return true;
+    const { count, first, last } = this.#unanswered;
+    return count >= unansweredSecondsMin && last - first >= unansweredLastingS;
+  }
+
+  #observeKind(
+    kind: EvidenceKind,
+    { dataCentres, reporters }: RouteBlock,
+    count: (counts: SideCounts) => BernoulliCounts,
+  ): void {
+    const pairs = new Map<string, CountsPair>();
+    dataCentres.forEach(({ old, next }, name) =>
+      pairs.set(name, { old: count(old), next: count(next) }),
     );
-    return withCalls.length < 2 || withBad.length >= 2;
+    this.kinds[kind].observe(pairs, reporters, count);
+  }
+
+  /** Pools the data centres, since an attempt without answer does not tell where it was lost. */
+  #observeUnanswered({ unanswered }: RouteBlock, ended: SidePair): void {
+    const withEnded = (side: 'old' | 'next'): BernoulliCounts => ({
+      calls: ended[side].calls + unanswered[side].calls,
+      bad: unanswered[side].failures,
+    });
+    const attempts = new Map([['', { old: withEnded('old'), next: withEnded('next') }]]);
+    const test = this.kinds[EvidenceKind.Unanswered];
+    test.observe(attempts, new Map(), () => ({ calls: 0, bad: 0 }));
+    this.#second += 1;
+    if (this.#second - this.#unanswered.last > unansweredPauseMaxS) {
+      this.#unanswered = { count: 0, first: this.#second, last: this.#second };
+    }
+    if (unanswered.next.failures === 0) return;
+    this.#unanswered.count += 1;
+    this.#unanswered.last = this.#second;
   }
 }
--- /dev/null
+++ b/packages/rollout/src/separated-test.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { newCounts, type ReporterCounts } from './evidence-blocks.js';
+import { KindTest } from './kind-test.js';
+import { SeparatedTest } from './separated-test.js';
+
+const logThreshold = Math.log(1000);
+const logSlack = Math.log(50);
+
+/** Ten old calls a second, and two on each new backend server, whose failures are given. */
+const observeSeconds = (seconds: number, failures: readonly number[]): SeparatedTest => {
+  const separated = new SeparatedTest(() => new KindTest(0.02, 0.005));
+  for (let second = 0; second < seconds; second += 1) {
+    const reporters = new Map<string, ReporterCounts>();
+    failures.forEach((count, index) => {
+      const counts = { ...newCounts(), calls: 2, failures: count };
+      reporters.set(`node-${index}`, { dataCentre: 'dc-1', counts });
+    });
+    const bad = failures.reduce((sum, count) => sum + count, 0);
+    const next = { calls: 2 * failures.length, bad };
+    const pairs = new Map([['dc-1', { old: { calls: 10, bad: 0 }, next }]]);
+    separated.observe(pairs, reporters, (counts) => ({
+      calls: counts.calls,
+      bad: counts.failures,
+    }));
+  }
+  return separated;
+};
+
+test('one faulty backend server is not taken for a bad version', () => {
+  // Guards against a take-back whenever one of many new backend servers fails. The test of all calls
+  // together is the mechanism switched off: it blames the version.
+  const oneFaulty = observeSeconds(20, [2, 0, 0, 0, 0, 0]);
+  assert.ok(oneFaulty.all.compared.logWealth >= logThreshold);
+  assert.equal(oneFaulty.reaches(logThreshold, logSlack).isWorse, false);
+  assert.equal(
+    observeSeconds(20, [1, 0, 1, 0, 0, 1]).reaches(logThreshold, logSlack).isWorse,
+    true,
+  );
+  assert.equal(observeSeconds(20, [2]).reaches(logThreshold, logSlack).isWorse, true);
+});
--- a/packages/rollout/src/sequential-version-test.ts
+++ b/packages/rollout/src/sequential-version-test.ts
@@ -5,6 +5,9 @@
 
 /** Probability of taking back a version that is no worse, per move. */
 export const alphaPerMove = 0.001;
+/** The same for a move during which one new backend server is faulty; such moves are rare. */
+const alphaWithFaultyServer = 0.05;
+const logSlack = Math.log(alphaWithFaultyServer / alphaPerMove);
 /** Two tests (compared, limited) of each kind of evidence on each route. */
 const testsPerRoute = 2 * Object.keys(EvidenceKind).length;
 
@@ -59,10 +62,9 @@
 
   logSuspicion(): number {
     const kinds = this.#all().flatMap((tests) => Object.values(tests.kinds));
-    // A difference too small to matter must not hold a move for ever, however certain it is.
-    const wealths = kinds.flatMap(({ compared, limited, excess, material }) => [
-      excess >= material ? compared.logWealth : 0,
-      limited.logWealth,
+    const wealths = kinds.flatMap(({ comparedLogWealth, limitedLogWealth }) => [
+      comparedLogWealth,
+      limitedLogWealth,
     ]);
     return Math.max(0, ...wealths);
   }
@@ -72,12 +74,12 @@
   }
 
   stageExcess(): number {
-    return this.#allRoutes.kinds[EvidenceKind.Failures].stageExcess;
+    return this.#allRoutes.kinds[EvidenceKind.Failures].all.stageExcess;
   }
 
   forgetUncompared(): void {
     this.#all().forEach(({ kinds }) => {
-      Object.values(kinds).forEach(({ limited }) => limited.reset());
+      Object.values(kinds).forEach((test) => test.forgetUncompared());
     });
   }
 
@@ -87,13 +89,12 @@
 
   #findingOf(route: string, tests: RouteTests, kind: EvidenceKind): Finding | undefined {
     const test = tests.kinds[kind];
-    const isWorse = test.compared.logWealth >= this.#logThreshold && test.excess >= test.material;
-    const isOverLimit = test.limited.logWealth >= this.#logThreshold && test.isLimitBrokenWidely;
-    if ((!isWorse && !isOverLimit) || !tests.isSeenByMany(kind)) return undefined;
+    const { isWorse, isOverLimit } = test.reaches(this.#logThreshold, logSlack);
+    if ((!isWorse && !isOverLimit) || !tests.isLasting(kind)) return undefined;
     const where = route === '*' ? 'all routes' : `route ${route}`;
     const reason = isWorse
-      ? `${kind} on ${where}: ${percent(test.excess)} more than the old version`
-      : `${kind} on ${where}: more than ${percent(test.limitRate)}`;
+      ? `${kind} on ${where}: ${percent(test.all.excess)} more than the old version`
+      : `${kind} on ${where}: more than ${percent(test.all.limitRate)}`;
     return { route, kind, reason, needsOutageCheck: !isWorse };
   }
 }
