--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -1,3 +1,4 @@
+import type { BurnAnswer } from '@sequoiafield/burn';
 import { CommandError } from '@sequoiafield/errors';
 import type { FleetAnswer, MoveStatus } from '@sequoiafield/types';
 import { Agent, request } from 'undici';
@@ -13,7 +14,14 @@
   readonly lagging: readonly string[];
 }
 
-/** Client of the admin interface of one node. */
+/**
+ * Client of the admin interface of one node; every failure is a `CommandError`.
+ *
+ * @example
+ * const admin = new AdminClient('http://127.0.0.1:7003', '');
+ * const { total, value } = await admin.inForce(7);
+ * await admin.close();
+ */
 export class AdminClient {
   readonly #url: string;
 
@@ -35,8 +43,8 @@
     return ((await this.#get('/v1/moves')) as { moves: readonly MoveStatus[] }).moves;
   }
 
-  async burn(): Promise<FleetAnswer<unknown>> {
-    return (await this.#get('/v1/fleet/burn')) as FleetAnswer<unknown>;
+  async burn(): Promise<FleetAnswer<BurnAnswer>> {
+    return (await this.#get('/v1/fleet/burn')) as FleetAnswer<BurnAnswer>;
   }
 
   async state(): Promise<unknown> {
--- a/packages/distribution/src/seeds-keeper.ts
+++ b/packages/distribution/src/seeds-keeper.ts
@@ -7,7 +7,7 @@
   type SeedRecord,
 } from '@sequoiafield/types';
 import type { HeadSource } from './sources.js';
-import { withTimeout } from './timing.js';
+import { burstDelayMs, withTimeout } from './timing.js';
 
 /** Seeds of one data centre. */
 const seedCount = 5;
@@ -26,8 +26,8 @@
 export interface SeedsListener {
   /** Names of the data centres in force; their records are read now and then. */
   dataCentres(): readonly string[];
-  /** Called with seeds that are not among the members. */
-  onUnknownSeeds(seeds: readonly Seed[]): void;
+  /** Called with the seeds of each record that is read. */
+  onSeedsRead(seeds: readonly Seed[]): void;
 }
 
 /**
@@ -52,7 +52,7 @@
 
   run(tick: Tick): void {
     // The first nodes of a data centre must become findable soon.
-    this.#nextAtMs ??= tick.nowMs + this.random.next() * firstCheckJitterMs;
+    this.#nextAtMs ??= tick.nowMs + this.#firstDelayMs();
     if (this.#isBusy || tick.nowMs < this.#nextAtMs) return;
     this.#isBusy = true;
     this.#check()
@@ -64,6 +64,11 @@
       });
   }
 
+  #firstDelayMs(): number {
+    const jitterMs = this.random.next() * firstCheckJitterMs;
+    return Math.max(jitterMs, burstDelayMs(this.members.fleetSize(), this.random));
+  }
+
   #delayMs(): number {
     const size = Math.max(1, this.#aliveInOwnDataCentre().length);
     return checkIntervalMs * size * -Math.log(1 - this.random.next());
@@ -82,7 +87,7 @@
     if (alive.length === 0) return;
     const read = this.source.readSeeds(dataCentre);
     const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
-    if (stored) this.#greetUnknown(stored.record);
+    if (stored) this.listener.onSeedsRead(stored.record.seeds);
     await this.#lookAbroad(dataCentre);
     if (stored && !this.#isStale(stored.record, alive)) return;
     const seeds = this.#choose(alive);
@@ -99,12 +104,7 @@
     if (other === undefined) return;
     const read = this.source.readSeeds(other);
     const stored = await withTimeout(read, storeTimeoutMs, 'Seeds read');
-    if (stored) this.#greetUnknown(stored.record);
-  }
-
-  #greetUnknown(record: SeedRecord): void {
-    const unknown = record.seeds.filter(({ id }) => !this.members.get(id));
-    if (unknown.length > 0) this.listener.onUnknownSeeds(unknown);
+    if (stored) this.listener.onSeedsRead(stored.record.seeds);
   }
 
   #isStale(record: SeedRecord, alive: readonly MemberRow[]): boolean {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -58,7 +58,7 @@
   stop(): void;
   /** Resolves once a seed answered and the rows of a peer are in; retries with jitter until then. */
   join(seeds: readonly SeedAddress[]): Promise<void>;
-  /** Greets nodes that the store's seeds name, so that fleets which formed apart merge. */
+  /** Makes itself known to addresses whose nodes this node does not know yet. */
   greet(seeds: readonly SeedAddress[]): void;
   announceDraining(): void;
   announceLeft(): void;
--- a/packages/store/src/accept-operation.ts
+++ b/packages/store/src/accept-operation.ts
@@ -9,8 +9,9 @@
 import { wallNowUnixMs } from '@sequoiafield/tables';
 import type { Configuration, HeadRecord, Manifest, MeshSection } from '@sequoiafield/types';
 import { listChangedSections, type ConfigReader, type ReadHead } from './config-reader.js';
-import { AcceptConflictError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
-import { HeadSettlement } from './head-settlement.js';
+import { MoveDecidedError, NotAcceptedError, StoreOutcomeUnknownError } from './errors.js';
+import { refuseDecidedMoves } from './decided-moves.js';
+import { HeadSwapResolver } from './head-swap-resolver.js';
 import { mapInBatches } from './in-batches.js';
 import { storeKeys } from './keys.js';
 import { absentRevision, type PlatformStore } from './platform-store.js';
@@ -73,6 +74,7 @@
       return { kind: 'unchanged', head: base.head.record };
     }
     const record = this.#buildRecord(manifest, nowUnixMs);
+    await this.#orNothing('read the verdicts', () => this.#checkMoves(base, changedSections));
     await this.#orNothing('write the new sections', () =>
       this.#writeContents(base, sections, manifest),
     );
@@ -87,6 +89,12 @@
     return { head, manifest, mesh };
   }
 
+  async #checkMoves(base: Base, changedSections: readonly string[]): Promise<void> {
+    if (!base.manifest) return;
+    const { configuration } = this.#request;
+    await refuseDecidedMoves(this.#reader, base.manifest, changedSections, configuration);
+  }
+
   #buildRecord({ manifest, digest }: ManifestBody, nowUnixMs: number): HeadRecord {
     return checkHead({
       configVersion: manifest.configVersion,
@@ -115,7 +123,7 @@
 
   async #swapHead(base: ReadHead | undefined, record: HeadRecord): Promise<HeadRecord> {
     const expectedRevision = base?.revision ?? absentRevision;
-    const settlement = new HeadSettlement(this.#reader, base, record);
+    const resolver = new HeadSwapResolver(this.#reader, base, record);
     try {
       const result = await this.#store.compareAndSwap(
         storeKeys.head,
@@ -124,10 +132,10 @@
       );
       if (result.kind === 'written') return record;
     } catch (error) {
-      if (error instanceof StoreOutcomeUnknownError) return settlement.afterLostAnswer(error);
+      if (error instanceof StoreOutcomeUnknownError) return resolver.afterLostAnswer(error);
       throw this.#nothingAccepted('swap the head', error);
     }
-    return settlement.afterConflict();
+    return resolver.afterConflict();
   }
 
   async #finish(head: HeadRecord, changedSections: readonly string[]): Promise<AcceptResult> {
@@ -152,7 +160,7 @@
   }
 
   #nothingAccepted(step: string, cause: unknown): Error {
-    if (cause instanceof AcceptConflictError) return cause;
+    if (cause instanceof MoveDecidedError) return cause;
     return new NotAcceptedError(`Nothing was accepted; could not ${step}:`, { cause });
   }
 }
