Act on drains that links tell and flush links before a stop

Cause: a node announces its drain on its links, but nothing read it, so callers learned it only by gossip or a refusal; the last answers of a stopping node could still be in the links when they closed. Change: a drain told by a link ejects the member at once; a stop waits for the links to be idle.

--- a/packages/integration-tests/src/recovery.test.ts
+++ b/packages/integration-tests/src/recovery.test.ts
@@ -78,7 +78,8 @@
   assert.equal(afterCalls, beforeCalls);
   assert.equal((await mesh.apply(both)).code, 0);
   const { outcomes, verification } = await finish();
-  assert.ok((await startedCalls(['s4', 's5', 's6'])) > afterCalls);
+  const returnedCalls = await startedCalls(['s4', 's5', 's6']);
+  assert.ok(returnedCalls > afterCalls, `${returnedCalls} calls, ${afterCalls} before the return`);
   assert.equal(verification.violationCount, 0, JSON.stringify(verification.violations));
   assert.ok((outcomes.answered ?? 0) > 0.98 * 12 * 80, JSON.stringify(outcomes));
 });
@@ -142,7 +143,11 @@
   for (const id of herd) {
     await mesh.waitUntil(`${id} serves`, 20_000, async () => {
       const state = await mesh.instance(id).state();
-      assert.ok(state.isServing !== true || Number(state.configVersion) >= version);
+      const isOlder = Number(state.configVersion) < version;
+      assert.ok(
+        state.isServing !== true || !isOlder,
+        `${id} serves ${String(state.configVersion)}`,
+      );
       return state.isServing === true;
     });
   }
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -23,6 +23,7 @@
 import { createTransport, type Transport } from '@sequoiafield/transport';
 import {
   FleetQueryKind,
+  RefusalReason,
   type FleetQuery,
   type CallReceiver,
   type MemberAnnouncement,
@@ -108,6 +109,8 @@
   const { backendServer } = settings;
   const repository = new ConfigRepository(new HttpStore(settings.store));
   const backendWatch = new BackendWatch(backendServer);
+  // Parts that are built later and that earlier ones call back.
+  const late: { distribution?: Distribution; onPeerDraining?: (id: string) => void } = {};
   // The links carry calls for the receiver, which is built from parts that need the links.
   const receiverSlot = createReceiverSlot();
   const transport = createTransport({
@@ -115,9 +118,8 @@
     receiver: receiverSlot,
     logger,
     random,
+    onPeerDraining: ({ id }) => late.onPeerDraining?.(id),
   });
-  // The membership announces what the distribution, built from it, has in force.
-  const late: { distribution?: Distribution } = {};
   const membership = createMembership({
     self,
     logger,
@@ -176,6 +178,15 @@
     random,
     ownLoad: () => admission.admission.load(),
   });
+  // A drain that a link told is known before gossip brings it.
+  late.onPeerDraining = (memberId) =>
+    routing.router.report({
+      memberId,
+      service: membership.view.get(memberId)?.service ?? '',
+      hasFailed: false,
+      latencyMs: 0,
+      refusalReason: RefusalReason.Draining,
+    });
   const burn = createBurn({ snapshot: distribution.view });
   const evidence = new BurnRecorder(rollout.recorder, burn);
   const receiver = new BackendCallReceiver({
--- a/packages/node/src/node-process.ts
+++ b/packages/node/src/node-process.ts
@@ -16,6 +16,9 @@
 /** Time in which a stopping node still takes callers' calls and passes them to other nodes. */
 const passOnMs = 2000;
 
+/** Time for the last answers to leave on the links. */
+const linkIdleTimeoutMs = 1000;
+
 /** Ports that a started node listens on. */
 export interface NodePorts {
   readonly gossipPort: number;
@@ -190,6 +193,7 @@
     const { calls, membership, distribution, transport } = this.#parts;
     const timeout = delay(this.settings.drain.timeoutMs, undefined, { ref: false });
     await Promise.race([calls.drain(), timeout]);
+    await transport.whenIdle(linkIdleTimeoutMs);
     membership.announceLeft();
     this.#loop.stop();
     distribution.stop();
