--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,22 @@
   'stand-ins': `${root}packages/stand-ins/src/main.ts`,
 };
 
+// The native add-ons are optional and the bundle stays pure JavaScript. A module that throws, in place
+// of an external one, keeps the single executable from warning that it cannot load files.
+const leaveOutNativeAddOns = {
+  name: 'leave-out-native-add-ons',
+  setup(bundler) {
+    const namespace = 'left-out';
+    bundler.onResolve({ filter: /^(msgpackr-extract|bufferutil|utf-8-validate)$/ }, ({ path }) => ({
+      path,
+      namespace,
+    }));
+    bundler.onLoad({ filter: /.*/, namespace }, ({ path }) => ({
+      contents: `throw new Error('${path} is left out of the bundle');`,
+    }));
+  },
+};
+
 await build({
   entryPoints: Object.fromEntries(Object.entries(entries).filter(([, file]) => existsSync(file))),
   outdir: `${root}dist`,
@@ -17,8 +33,7 @@
   target: 'node20',
   format: 'cjs',
   logLevel: 'warning',
-  // The native add-ons are optional; the bundle stays pure JavaScript.
-  external: ['msgpackr-extract', 'bufferutil', 'utf-8-validate'],
+  plugins: [leaveOutNativeAddOns],
   define: { 'import.meta.url': 'importMetaUrl' },
   banner: {
     js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;",
