--- a/packages/integration-tests/src/configurations.ts
+++ b/packages/integration-tests/src/configurations.ts
@@ -1,3 +1,5 @@
+import type { InstancePlan } from '@sequoiafield/stand-ins';
+
 /** Files of a configuration folder by name. */
 export type ConfigurationFiles = Readonly<Record<string, string>>;
 
@@ -73,3 +75,13 @@
     '',
   ].join('\n'),
 });
+
+/** One instance of settlement v1 per data centre named, with ids `s1`, `s2` and so on. */
+export const settlementInstances = (dataCentres: readonly string[]): readonly InstancePlan[] =>
+  dataCentres.map((dataCentre, index) => ({
+    id: `s${index + 1}`,
+    dataCentre,
+    service: 'settlement',
+    backendVersion: 'v1',
+    behaviour: { serviceTimeMs: 5 },
+  }));
--- a/packages/integration-tests/src/faults.test.ts
+++ b/packages/integration-tests/src/faults.test.ts
@@ -6,26 +6,12 @@
   FaultEffect,
   FaultMode,
   LocalMesh,
-  type InstancePlan,
   type LoadOutcome,
 } from '@sequoiafield/stand-ins';
 import { buildBundles } from './build.js';
-import { kerasmaFiles } from './configurations.js';
+import { kerasmaFiles, settlementInstances } from './configurations.js';
 
-const instances: readonly InstancePlan[] = [
-  'ath-1',
-  'ath-1',
-  'ath-1',
-  'ath-2',
-  'ath-2',
-  'ath-2',
-].map((dataCentre, index) => ({
-  id: `s${index + 1}`,
-  dataCentre,
-  service: 'settlement',
-  backendVersion: 'v1',
-  behaviour: { serviceTimeMs: 5 },
-}));
+const instances = settlementInstances(['ath-1', 'ath-1', 'ath-1', 'ath-2', 'ath-2', 'ath-2']);
 const callers = ['s1', 's4'];
 const calmMs = 1500;
 
--- a/packages/integration-tests/src/recovery.test.ts
+++ b/packages/integration-tests/src/recovery.test.ts
@@ -1,24 +1,11 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { FaultEffect, FaultOperation, LocalMesh, type InstancePlan } from '@sequoiafield/stand-ins';
+import { FaultEffect, FaultOperation, LocalMesh } from '@sequoiafield/stand-ins';
 import { buildBundles } from './build.js';
-import { kerasmaFiles, type ConfigurationFiles } from './configurations.js';
+import { kerasmaFiles, settlementInstances, type ConfigurationFiles } from './configurations.js';
 
-const instances: readonly InstancePlan[] = [
-  'ath-1',
-  'ath-1',
-  'ath-1',
-  'ath-2',
-  'ath-2',
-  'ath-2',
-].map((dataCentre, index) => ({
-  id: `s${index + 1}`,
-  dataCentre,
-  service: 'settlement',
-  backendVersion: 'v1',
-  behaviour: { serviceTimeMs: 5 },
-}));
+const instances = settlementInstances(['ath-1', 'ath-1', 'ath-1', 'ath-2', 'ath-2', 'ath-2']);
 /** Time after which a data centre that is out, or a server that leaves, gets no new work. */
 const evacuationLimitMs = 3000;
 
@@ -135,12 +122,12 @@
   const refused = await mesh.apply(withDeadline(1200));
   assert.equal(refused.code, 4, refused.log);
   assert.match(refused.log, /[Nn]othing was accepted/);
-  const finish = load('herd', 10, ['s4', 's6']);
+  const finish = load('restart', 10, ['s4', 's6']);
   await delay(1000);
-  const herd = ['s1', 's2', 's5'];
-  await Promise.all(herd.map((id) => mesh.instance(id).node?.kill()));
-  herd.forEach((id) => mesh.instance(id).startNode());
-  for (const id of herd) {
+  const restarted = ['s1', 's2', 's5'];
+  await Promise.all(restarted.map((id) => mesh.instance(id).node?.kill()));
+  restarted.forEach((id) => mesh.instance(id).startNode());
+  for (const id of restarted) {
     await mesh.waitUntil(`${id} serves`, 20_000, async () => {
       const state = await mesh.instance(id).state();
       const isOlder = Number(state.configVersion) < version;
@@ -162,14 +149,14 @@
   // Guards against a floor taken from peers of one data centre, which may have been cut off.
   const version = await headVersion();
   await mesh.setStoreFaults([{ effect: FaultEffect.Refuse }]);
-  const herd = ['s1', 's2', 's3'];
-  await Promise.all(herd.map((id) => mesh.instance(id).node?.kill()));
-  herd.forEach((id) => mesh.instance(id).startNode());
+  const restarted = ['s1', 's2', 's3'];
+  await Promise.all(restarted.map((id) => mesh.instance(id).node?.kill()));
+  restarted.forEach((id) => mesh.instance(id).startNode());
   await mesh.waitUntil('the nodes are back', 20_000, async () => {
-    const states = await Promise.all(herd.map((id) => mesh.instance(id).state()));
+    const states = await Promise.all(restarted.map((id) => mesh.instance(id).state()));
     return states.every((state) => state.configVersion === version);
   });
-  const states = await Promise.all(herd.map((id) => mesh.instance(id).state()));
+  const states = await Promise.all(restarted.map((id) => mesh.instance(id).state()));
   assert.deepEqual(
     states.map(({ isServing }) => isServing),
     [false, false, false],
