--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -13,6 +13,7 @@
   toCanonicalJson,
   type NodeSettings,
 } from '@sequoiafield/config';
+import { NodeError } from '@sequoiafield/errors';
 import { createDistribution, type Distribution } from '@sequoiafield/distribution';
 import type { Logger } from '@sequoiafield/logger';
 import { createMembership, type Membership } from '@sequoiafield/membership';
@@ -66,7 +67,7 @@
 
 const createReceiverSlot = (): CallReceiver & { target?: CallReceiver } => ({
   receive(open, body, signal) {
-    if (!this.target) throw new Error('The receiver is used before the node is built');
+    if (!this.target) throw new NodeError('The receiver is used before the node is built');
     return this.target.receive(open, body, signal);
   },
 });
