Send the request id of an answer once

Cause: the tour in the README showed x-sequoiafield-request-id twice, since a backend server that echoes it was not filtered.

--- a/packages/calls/src/headers.ts
+++ b/packages/calls/src/headers.ts
@@ -37,7 +37,12 @@
  * Headers of an answer that only nodes set. A backend server that passes on a refusal of its own
  * upstream must not make this node's caller believe that its request did not run.
  */
-const ownAnswerHeaders = new Set([outcomeHeader, reasonHeader, backendRefusedHeader]);
+const ownAnswerHeaders = new Set([
+  outcomeHeader,
+  reasonHeader,
+  requestIdHeader,
+  backendRefusedHeader,
+]);
 
 const selectHeaders = (raw: readonly string[], own: ReadonlySet<string>): HeaderPair[] => {
   const pairs: HeaderPair[] = [];
