Give each integration test file its own bundles

Ruled out: the change of the call scope; the setup failed before any call. Change: each file builds into a folder of its own and removes it.

--- a/packages/integration-tests/src/build.ts
+++ b/packages/integration-tests/src/build.ts
@@ -1,4 +1,6 @@
 import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
 const root = join(import.meta.dirname, '..', '..', '..');
@@ -10,9 +12,12 @@
  * const distFolder = buildBundles();
  */
 export const buildBundles = (): string => {
-  const result = spawnSync(process.execPath, [join(root, 'scripts', 'build.js')], {
+  // Test files run at the same time; in a shared folder one would start a half-written bundle.
+  const distFolder = mkdtempSync(join(tmpdir(), 'sequoiafield-dist-'));
+  process.once('exit', () => rmSync(distFolder, { recursive: true, force: true }));
+  const result = spawnSync(process.execPath, [join(root, 'scripts', 'build.js'), distFolder], {
     stdio: 'inherit',
   });
   if (result.status !== 0) throw new Error('The bundles could not be built');
-  return join(root, 'dist');
+  return distFolder;
 };
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,4 +1,4 @@
-// Bundles the command and the stand-ins into dist/, one CommonJS file each.
+// Bundles the command and the stand-ins into dist/ or the folder named, one CommonJS file each.
 import { build } from 'esbuild';
 import { existsSync } from 'node:fs';
 
@@ -26,7 +26,7 @@
 
 await build({
   entryPoints: Object.fromEntries(Object.entries(entries).filter(([, file]) => existsSync(file))),
-  outdir: `${root}dist`,
+  outdir: process.argv[2] ?? `${root}dist`,
   outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
