Use the wire order of a member row in one place

Cause: the node-cost benchmark listed the fields of a row again, so a change of the wire format would have broken it silently. Change: membership exports rowToTuple and the benchmark uses it.

--- a/packages/bench/src/node-cost/fleet-generator.ts
+++ b/packages/bench/src/node-cost/fleet-generator.ts
@@ -6,6 +6,7 @@
   encodeRow,
   encodeState,
   MessageType,
+  rowToTuple,
   type GossipRow,
 } from '@sequoiafield/membership';
 import { SeededRandom } from '@sequoiafield/tables';
@@ -53,22 +54,6 @@
 /** Time from the death of a member until its next incarnation announces itself. */
 const restartMs = 5000;
 
-const rowTuple = (row: GossipRow): readonly unknown[] => [
-  row.id,
-  row.incarnation,
-  row.refutation,
-  row.state,
-  row.configVersion,
-  row.address,
-  row.gossipPort,
-  row.linkPort,
-  row.callPort,
-  row.region,
-  row.dataCentre,
-  row.service,
-  row.backendVersion,
-];
-
 const deltaOf = (base: Manifest | undefined, target: Manifest, baseVersion: number): unknown => {
   const { configVersion } = target;
   if (!base) return { baseVersion: 0, configVersion, changed: target.sections, removed: [] };
@@ -254,7 +239,7 @@
       const [page] = (body as { buckets: number[] }).buckets;
       const start = (page ?? 0) * pageRows;
       const rows = this.#rows.slice(start, start + pageRows);
-      return { rows: rows.map(rowTuple), coveredBuckets: 1 };
+      return { rows: rows.map(rowToTuple), coveredBuckets: 1 };
     });
     links.handle(LinkRequestKind.ManifestDelta, (body) => {
       const { baseVersion } = body as { baseVersion: number };
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -15,5 +15,6 @@
   encodeRow,
   encodeState,
   MessageType,
+  rowToTuple,
   type Message,
 } from './wire.js';
