--- a/packages/routing/src/choice.test.ts
+++ b/packages/routing/src/choice.test.ts
@@ -32,7 +32,7 @@
 };
 
 test('shares of 1000 choices', () => {
-  // Guards against herding on one member, ignored load, a ramp that the only near data centre
+  // Guards against all callers choosing one member, ignored load, a ramp that the only near data centre
   // escapes, and an own instance that is used while it is busier.
   const { OwnDataCentre: near, OwnRegion: mid, OtherRegion: far } = Tier;
   matchSnapshot(import.meta.filename, 'shares of 1000 choices', {
@@ -161,7 +161,7 @@
 });
 
 test('back-off doubles, one trial at a time, and a good trial returns the member', async () => {
-  // Guards against a herd of calls on a member that may still be down.
+  // Guards against many calls at once on a member that may still be down.
   const clock = pauseClock();
   const ejector = new OutlierEjector({ next: () => 0.5, below: () => 0 });
   const report = (refusalReason?: RefusalReason, latencyMs = 0): void =>
