--- a/scripts/ensure-installed.js
+++ b/scripts/ensure-installed.js
@@ -5,8 +5,8 @@
 import { join } from 'node:path';
 
 const root = new URL('..', import.meta.url).pathname;
-const isInstalled = ['typescript', 'tsx', 'fastify', '@sequoiafield/types'].every((name) =>
-  existsSync(join(root, 'node_modules', name)),
+const isInstalled = ['typescript', 'tsx', 'esbuild', 'fastify', '@sequoiafield/types'].every(
+  (name) => existsSync(join(root, 'node_modules', name)),
 );
 if (!isInstalled) {
   const result = spawnSync('npm', ['ci'], { stdio: 'inherit', cwd: root });
