Count refusals and slots of admission in the metrics

Cause: in one run of the demo 84 of 3,892 calls were refused with queue-full and no metric said which node refused or how many slots it gave out. Change: sequoiafield_admission_{running_calls,queued_calls,slots_now} and refusals by reason. The refused calls came in a run that shared the machine with five others; cause not shown.

--- a/packages/admission/src/create-admission.ts
+++ b/packages/admission/src/create-admission.ts
@@ -1,6 +1,12 @@
 import { SilentLogger, type Logger } from '@sequoiafield/logger';
 import type { RandomSource, System } from '@sequoiafield/tables';
-import type { Admission, RolloutView, ShareObservation, SnapshotView } from '@sequoiafield/types';
+import type {
+  Admission,
+  RefusalReason,
+  RolloutView,
+  ShareObservation,
+  SnapshotView,
+} from '@sequoiafield/types';
 import { AdaptiveSlotLimiter } from './adaptive-slot-limiter.js';
 import type { AdmissionMechanisms } from './admission-mechanisms.js';
 import type { OwnServer } from './own-server.js';
@@ -31,6 +37,8 @@
 /** Admission and the systems that the tick loop must run for it. */
 export interface AdmissionParts {
   readonly admission: Admission;
+  /** Refusals since the start of the process, by reason. */
+  readonly refusals: ReadonlyMap<RefusalReason, number>;
   readonly systems: readonly System[];
 }
 
@@ -57,5 +65,5 @@
       ...options.mechanisms,
     },
   );
-  return { admission, systems: [admission] };
+  return { admission, refusals: admission.refusals, systems: [admission] };
 };
--- a/packages/admission/src/slot-admission.ts
+++ b/packages/admission/src/slot-admission.ts
@@ -44,6 +44,9 @@
 export class SlotAdmission implements Admission, System {
   readonly name = 'admission';
 
+  /** Refusals since the start of the process, by reason. */
+  readonly refusals = new Map<RefusalReason, number>();
+
   #running = 0;
 
   #serverStartedAtMs: number | undefined;
@@ -210,6 +213,7 @@
     reason: RefusalReason,
     outcome: RefusalOutcome = RefusalOutcome.NotRun,
   ): { readonly kind: 'refusal'; readonly refusal: CallRefusal } {
+    this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
     const { runningCalls, queuedCalls, slotsNow } = this.load();
     const detail = `${runningCalls} of ${slotsNow} slots in use, ${queuedCalls} waiting`;
     return { kind: 'refusal', refusal: { outcome, reason, detail, load: this.load() } };
--- a/packages/integration-tests/src/demo/main.ts
+++ b/packages/integration-tests/src/demo/main.ts
@@ -66,7 +66,8 @@
   const files = kerasmaFiles(dataCentres);
   const applied = await mesh.apply(files);
   say(`  ${applied.output}`);
-  say(`  in force on all nodes after ${Math.round(await mesh.waitInForce(1))} ms`);
+  const readyMs = Math.round(await mesh.waitInForce(1));
+  say(`  all nodes know each other and have the version in force after ${readyMs} ms`);
   say('3. Settlement moves from v1 to v2, a good version, under load.');
   const good = await runMove(mesh, files, ['settlement-v2', 'v1', 'v2']);
   report(good.outcome);
--- a/packages/node/src/metrics.ts
+++ b/packages/node/src/metrics.ts
@@ -7,6 +7,14 @@
   read(): number;
 }
 
+/** Numbers of one kind that a part of the node counts per value of a label. */
+export interface LabelledMetricSource {
+  readonly name: string;
+  readonly help: string;
+  readonly labelName: string;
+  readByLabel(): ReadonlyMap<string, number>;
+}
+
 /**
  * Registry whose metrics are read from the parts of the node on demand, so that the request path
  * does no work for them.
@@ -14,7 +22,10 @@
  * @example
  * createMetrics([{ name: 'sequoiafield_config_version', help: 'In force', read: () => 7 }]);
  */
-export const createMetrics = (sources: readonly MetricSource[]): Registry => {
+export const createMetrics = (
+  sources: readonly MetricSource[],
+  labelledSources: readonly LabelledMetricSource[] = [],
+): Registry => {
   const registry = new Registry();
   sources.forEach(({ name, help, read }) => {
     registry.registerMetric(
@@ -28,5 +39,18 @@
       }),
     );
   });
+  labelledSources.forEach(({ name, help, labelName, readByLabel }) => {
+    registry.registerMetric(
+      new Gauge({
+        name,
+        help,
+        labelNames: [labelName],
+        registers: [],
+        collect() {
+          readByLabel().forEach((value, label) => this.set({ [labelName]: label }, value));
+        },
+      }),
+    );
+  });
   return registry;
 };
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -1,12 +1,15 @@
 import { MemberState } from '@sequoiafield/types';
-import type { MetricSource } from './metrics.js';
+import type { LabelledMetricSource, MetricSource } from './metrics.js';
 import type { NodeParts } from './node-parts.js';
 
 const prefix = 'sequoiafield_';
 
+const toSnakeCase = (key: string): string =>
+  key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+
 const countersOf = (part: string, counters: object): readonly MetricSource[] =>
   Object.keys(counters).map((key) => ({
-    name: `${prefix}${part}_${key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`,
+    name: `${prefix}${part}_${toSnakeCase(key)}`,
     help: `${key} of the ${part} since the start of the process`,
     read: () => (counters as Record<string, number>)[key] ?? 0,
   }));
@@ -43,8 +46,38 @@
       read: () => countMembers(parts, state),
     }),
   ),
+  {
+    name: `${prefix}admission_running_calls`,
+    help: 'Calls that run on the own backend server',
+    read: () => parts.admission.load().runningCalls,
+  },
+  {
+    name: `${prefix}admission_queued_calls`,
+    help: 'Calls that wait for a slot of the own backend server',
+    read: () => parts.admission.load().queuedCalls,
+  },
+  {
+    name: `${prefix}admission_slots_now`,
+    help: 'Slots that admission gives out, fewer while the own backend server is cold',
+    read: () => parts.admission.load().slotsNow,
+  },
   ...countersOf('calls', parts.calls.counters),
   ...countersOf('transport', parts.transport.counters),
   ...countersOf('membership', parts.membership.counters),
   ...countersOf('distribution', parts.distribution.counters),
 ];
+
+/**
+ * Metrics of a node that carry a label: refusals of the admission by reason.
+ *
+ * @example
+ * const registry = createMetrics(nodeMetricSources(parts), labelledMetricSources(parts));
+ */
+export const labelledMetricSources = (parts: NodeParts): readonly LabelledMetricSource[] => [
+  {
+    name: `${prefix}admission_refusals`,
+    help: 'Refused calls since the start of the process',
+    labelName: 'reason',
+    readByLabel: () => parts.refusals,
+  },
+];
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -1,4 +1,4 @@
-import { createAdmission } from '@sequoiafield/admission';
+import { createAdmission, type AdmissionParts } from '@sequoiafield/admission';
 import { createBurn, mergeBurn, type Burn } from '@sequoiafield/burn';
 import {
   BackendCallReceiver,
@@ -57,6 +57,8 @@
   readonly membership: Membership;
   readonly distribution: Distribution;
   readonly rollout: Rollout;
+  readonly admission: AdmissionParts['admission'];
+  readonly refusals: AdmissionParts['refusals'];
   readonly calls: CallPath;
   readonly receiver: BackendCallReceiver;
   readonly repository: ConfigRepository;
@@ -219,6 +221,8 @@
     membership,
     distribution,
     rollout,
+    admission: admission.admission,
+    refusals: admission.refusals,
     calls,
     receiver,
     repository,
--- a/packages/node/src/node-process.ts
+++ b/packages/node/src/node-process.ts
@@ -9,7 +9,7 @@
 import type { BackendServerAnnouncement } from './local-backend-server.js';
 import { choosePort } from './choose-port.js';
 import { createMetrics } from './metrics.js';
-import { nodeMetricSources } from './node-metrics.js';
+import { labelledMetricSources, nodeMetricSources } from './node-metrics.js';
 import { createNodeParts, type NodeParts } from './node-parts.js';
 import { SeedFinder } from './seed-finder.js';
 
@@ -68,7 +68,10 @@
     this.#loop = new TickLoop(systems, (system, error) =>
       logger.log(logEvents.systemFailed, { system, error: String(error) }),
     );
-    this.#metrics = createMetrics(nodeMetricSources(this.#parts));
+    this.#metrics = createMetrics(
+      nodeMetricSources(this.#parts),
+      labelledMetricSources(this.#parts),
+    );
     this.#admin = createAdminInterface(this, settings.node.adminToken);
     membership.join(settingsSeeds).catch(() => undefined);
   }
