--- /dev/null
+++ b/packages/routing/src/eligibility.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import fc from 'fast-check';
+import { pauseClock, type PausedClock } from '@sequoiafield/test-kit';
+import { DataCentreState, MemberState, RefusalReason, type MemberRow } from '@sequoiafield/types';
+import type { RoutingMechanisms } from './index.js';
+import { createSnapshot, dataCentres, FakeFleet, service } from './test-support/fake-fleet.js';
+import { noFilter, noWeights, strictFilter } from './test-support/missing-mechanisms.js';
+
+let clock: PausedClock;
+beforeEach(() => {
+  clock = pauseClock();
+});
+afterEach(() => clock.resume());
+
+test('a taken-back version gets no call, even when every other way is closed', () => {
+  // Guards against failing open to a bad backend version.
+  const fleet = new FakeFleet();
+  const routing = fleet.create({});
+  assert.ok(routing.router.choose(service, 'v1', new Set()));
+  fleet.takenBack.add('v1');
+  assert.equal(routing.router.choose(service, 'v1', new Set()), undefined);
+});
+
+test('a member that leaves between two ticks gets no call', () => {
+  // Guards against subsets that outlive the state they were built from.
+  const fleet = new FakeFleet();
+  const { router } = fleet.create({});
+  router.choose(service, 'v1', new Set());
+  fleet.rows.forEach((row) => fleet.setState(row.id, MemberState.Draining));
+  assert.equal(router.choose(service, 'v1', new Set()), undefined);
+});
+
+const memberStates = [
+  MemberState.Joining,
+  MemberState.Alive,
+  MemberState.Suspect,
+  MemberState.Draining,
+  MemberState.Left,
+  MemberState.Dead,
+];
+
+const forbiddenStates = new Set([MemberState.Joining, MemberState.Draining, MemberState.Left]);
+
+const anyMemberState = fc.record({
+  state: fc.constantFrom(...memberStates),
+  reasons: fc.array(fc.constantFrom(undefined, ...Object.values(RefusalReason)), { maxLength: 4 }),
+});
+
+/** Every mix of states, data centres out and own evidence. */
+const choiceProperty = (mechanisms: Partial<RoutingMechanisms>) =>
+  fc.property(
+    fc.array(anyMemberState, { minLength: 6, maxLength: 6 }),
+    fc.array(fc.boolean(), { minLength: 3, maxLength: 3 }),
+    fc.integer(),
+    (members, areOut, seed) => {
+      const fleet = new FakeFleet();
+      const isOut = (name: string): boolean =>
+        areOut[dataCentres.findIndex((dataCentre) => dataCentre === name)] ?? false;
+      fleet.snapshot = createSnapshot(
+        Object.fromEntries(
+          dataCentres.map((name) => [
+            name,
+            { state: isOut(name) ? DataCentreState.Out : DataCentreState.In },
+          ]),
+        ),
+      );
+      const { router } = fleet.create(mechanisms, seed);
+      fleet.rows.forEach((row, index) => {
+        fleet.setState(row.id, members[index]!.state);
+        members[index]!.reasons.forEach((refusalReason) => {
+          router.report({
+            memberId: row.id,
+            service,
+            hasFailed: true,
+            latencyMs: 1,
+            refusalReason,
+          });
+        });
+      });
+      const isPermitted = (row: MemberRow): boolean =>
+        !forbiddenStates.has(row.state) && !isOut(row.dataCentre);
+      const chosen = router.choose(service, 'v1', new Set());
+      if (fleet.rows.some(isPermitted)) return chosen !== undefined && isPermitted(chosen);
+      return chosen === undefined;
+    },
+  );
+
+test('a permitted member is chosen whenever one exists, and never a forbidden one', () => {
+  // Guards against both kinds of wrong failing open: to nothing, and to a member that leaves.
+  const options = { seed: 20261204, numRuns: 500 };
+  fc.assert(choiceProperty({}), options);
+  assert.ok(fc.check(choiceProperty({ filter: noFilter }), options).failed);
+  assert.ok(fc.check(choiceProperty({ weights: noWeights }), options).failed);
+  assert.ok(fc.check(choiceProperty({ filter: strictFilter }), options).failed);
+});
+
+test('retry storm: a service that fails every call gets few more attempts than calls', () => {
+  // Guards against retries that multiply the load of a failing service.
+  const countAttempts = (mechanisms: Partial<RoutingMechanisms>): number => {
+    const { router } = new FakeFleet().create(mechanisms);
+    let attempts = 0;
+    for (let call = 0; call < 1000; call += 1) {
+      router.recordFirstAttempt(service);
+      attempts += 1;
+      for (let retry = 0; retry < 2 && router.takeRetry(service, 10); retry += 1) attempts += 1;
+    }
+    return attempts;
+  };
+  assert.ok(countAttempts({}) <= 1110);
+  const noBudget = { recordFirstAttempt: () => {}, take: () => true };
+  assert.equal(countAttempts({ budget: noBudget }), 3000);
+});
