Alternate the path that the call benchmark sends first

Cause: the generator sent the direct call first in every pair. When its 1 ms timer was late, both were sent in one turn of the loop, and the call through the mesh always waited for the direct one to be written. Nothing showed whether the generator itself was late or queued calls. Change: the first path of a pair changes with each pair; columns lag_p99_us (time from when a call was due until it was sent) and queued (calls that found all 64 connections of their path in use). Checked and left: both paths use the same pool, connection limit and keep-alive policy in one process, and the same backend server. A latency counts from the send, not from the due time; the lag hits both paths alike. Not alike: the caller's own POST to the backend server uses kept-alive connections, which node B does not for a non-idempotent call. That is a cost of the node and stays in the figures.

--- a/packages/bench/src/call/benchmark.ts
+++ b/packages/bench/src/call/benchmark.ts
@@ -47,6 +47,8 @@
   'added_p999_us',
   'node_a_us/call',
   'node_b_us/call',
+  'lag_p99_us',
+  'queued',
 ];
 
 /** Added latency and processor time of a call through the mesh against the direct call. */
@@ -96,7 +98,7 @@
   }
 
   #add(phase: Phase, suffix: string, outcome: PhaseOutcome): void {
-    const { direct, mesh: through } = outcome.result;
+    const { direct, mesh: through, generator } = outcome.result;
     const added = [
       through.p50Us - direct.p50Us,
       through.p99Us - direct.p99Us,
@@ -116,6 +118,7 @@
       ...[through.p50Us, through.p99Us, through.p999Us],
       ...added,
       ...[outcome.nearUs, outcome.farUs],
+      ...[generator.lagP99Us, generator.queued],
     ]);
   }
 }
--- a/packages/bench/src/call/load-process.ts
+++ b/packages/bench/src/call/load-process.ts
@@ -16,6 +16,8 @@
 
   #failed = 0;
 
+  #queued = 0;
+
   readonly #running = new Set<Promise<void>>();
 
   constructor(
@@ -25,7 +27,12 @@
     this.#pool = new Pool(origin, { connections: connectionsMax, pipelining: 1 });
   }
 
+  get queued(): number {
+    return this.#queued;
+  }
+
   send(): void {
+    if (this.#running.size >= connectionsMax) this.#queued += 1;
     const call = this.#call().finally(() => this.#running.delete(call));
     this.#running.add(call);
   }
@@ -33,6 +40,7 @@
   reset(): void {
     this.#histogram.reset();
     this.#failed = 0;
+    this.#queued = 0;
   }
 
   async finish(): Promise<Quantiles> {
@@ -68,12 +76,15 @@
   callsPerSecond: number,
   durationMs: number,
   sendAt: (turn: number) => void,
-): Promise<void> => {
+): Promise<Histogram> => {
+  const lagUs = build({ numberOfSignificantValueDigits: 3 });
   const startedAtMs = performance.now();
   const turns = Math.round((callsPerSecond * durationMs) / 1000);
   for (let turn = 0; turn < turns;) {
-    const dueTurn = ((performance.now() - startedAtMs) * callsPerSecond) / 1000;
+    const nowMs = performance.now() - startedAtMs;
+    const dueTurn = (nowMs * callsPerSecond) / 1000;
     while (turn < turns && turn <= dueTurn) {
+      lagUs.recordValue(Math.round((nowMs - (turn * 1000) / callsPerSecond) * 1000));
       sendAt(turn);
       turn += 1;
     }
@@ -81,18 +92,27 @@
       setTimeout(resolve, 1);
     });
   }
+  return lagUs;
 };
 
 const runLoad = async (load: LoadOptions): Promise<LoadResult> => {
   const direct = new Target(load.directOrigin, load.method);
   const mesh = new Target(load.meshOrigin, load.method);
-  // Even turns go directly and odd ones through the mesh, so that noise hits both alike.
-  const sendAt = (turn: number): void => (turn % 2 === 0 ? direct : mesh).send();
+  // The paths take turns, so that noise hits both alike. The first one of a pair changes with each
+  // pair: of two calls sent in one turn of the loop, the second waits for the first to be written.
+  const sendAt = (turn: number): void => {
+    const isDirect = turn % 2 === Math.floor(turn / 2) % 2;
+    (isDirect ? direct : mesh).send();
+  };
   await runAtRate(2 * load.callsPerSecond, warmUpMs, sendAt);
   direct.reset();
   mesh.reset();
-  await runAtRate(2 * load.callsPerSecond, load.durationMs, sendAt);
-  return { direct: await direct.finish(), mesh: await mesh.finish() };
+  const lagUs = await runAtRate(2 * load.callsPerSecond, load.durationMs, sendAt);
+  const generator = {
+    lagP99Us: lagUs.getValueAtPercentile(99),
+    queued: direct.queued + mesh.queued,
+  };
+  return { direct: await direct.finish(), mesh: await mesh.finish(), generator };
 };
 
 answerParent({}, async (question) =>
--- a/packages/bench/src/call/messages.ts
+++ b/packages/bench/src/call/messages.ts
@@ -29,10 +29,19 @@
   readonly p999Us: number;
 }
 
+/** Whether the generator itself kept up; both paths share it, so that its delays hit both alike. */
+export interface GeneratorState {
+  /** 99th percentile of the time from when a call was due until it was sent. */
+  readonly lagP99Us: number;
+  /** Calls that found every connection of their path in use and waited in the generator. */
+  readonly queued: number;
+}
+
 /** Result of one phase of load. */
 export interface LoadResult {
   readonly direct: Quantiles;
   readonly mesh: Quantiles;
+  readonly generator: GeneratorState;
 }
 
 /** Processor time of a process so far. */
