Use promised connections again for non-idempotent calls

Cause: every non-idempotent call opened a connection to the backend server. Change: a connection is used again if the server advertised Keep-Alive: timeout, that time, counted from when the last request was written, ends after the deadline of the new request, and the last request is at most 1 s ago. Otherwise the call opens a connection. usesFreshConnections true keeps one connection per call, false uses any kept-alive one; the tests that set it are unchanged. Not covered: a server that closes earlier than it advertised. Its request ends "unknown" and never runs twice; before, the connection was refused ("not run"). Ruled out: a connection opened ahead and used once (same remainder, same processor time); undici's own keep-alive limits alone (the pool uses a connection without an advertised time for 2 s, and a paused process outlasts any fixed margin); Expect: 100-continue (undici refuses it; one more round trip).

--- a/packages/bench/src/call/benchmark.ts
+++ b/packages/bench/src/call/benchmark.ts
@@ -25,6 +25,12 @@
 const warmUpMs = 3000;
 const warmUpPhases = phases.filter(({ callsPerSecond }) => callsPerSecond === 500);
 
+/** Policies of connections for non-idempotent calls, for comparison. */
+const baselines = [
+  ['keep-alive', ' (any kept-alive connection)'],
+  ['fresh', ' (own connection per call)'],
+] as const;
+
 const phaseMs = (phase: Phase, isQuick: boolean): number => {
   const wantedMs = (callsPerPhase / phase.callsPerSecond) * 1000;
   return isQuick ? quickPhaseMs : Math.min(phaseMaxMs, Math.max(phaseMinMs, wantedMs));
@@ -65,12 +71,9 @@
     await this.#runMesh(new Mesh(), phases, '', options.isQuick);
     if (options.hasBaseline) {
       const posts = phases.filter(({ method }) => method === 'POST');
-      await this.#runMesh(
-        new Mesh(['keep-alive']),
-        posts,
-        ' (kept-alive connections)',
-        options.isQuick,
-      );
+      for (const [policy, suffix] of baselines) {
+        await this.#runMesh(new Mesh([policy]), posts, suffix, options.isQuick);
+      }
     }
     const figures = this.#figures;
     const added = (key: string): number => Number(figures[`${key}_added_p99_us`]);
--- a/packages/bench/src/call/node-process.ts
+++ b/packages/bench/src/call/node-process.ts
@@ -5,8 +5,10 @@
 import { answerParent } from './child-answers.js';
 import { FixedDecisions, makeRow } from './fixed-decisions.js';
 
-const [id = 'node', origin = '', keepAliveArgument] = process.argv.slice(2);
-const usesFreshConnections = keepAliveArgument !== 'keep-alive';
+/** Policies of connections for non-idempotent calls; the one of a node without an argument. */
+const policies: Partial<Record<string, boolean>> = { 'keep-alive': false, fresh: true };
+const [id = 'node', origin = '', policy = ''] = process.argv.slice(2);
+const usesFreshConnections = policies[policy];
 const self = makeRow({ id, linkPort: 0, callPort: 0 });
 const decisions = new FixedDecisions();
 const logger = new SilentLogger();
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -1,5 +1,6 @@
 import { CallError } from '@sequoiafield/errors';
 import { BodyChannel, type BodyChannelOwner } from '@sequoiafield/transport';
+import { monotonicNowMs } from '@sequoiafield/tables';
 import { RefusalReason } from '@sequoiafield/types';
 import type { Dispatcher } from 'undici';
 import type { BackendEnd, BackendResult } from './backend-client.js';
@@ -9,6 +10,7 @@
   bodilessStatuses,
   findHeader,
   forwardAnswerHeaders,
+  readKeepAliveMs,
 } from './headers.js';
 import type { FailureClassifier } from './failure-classifier.js';
 import { notRun } from './refusals.js';
@@ -43,6 +45,16 @@
 
   #onEnd: (end: BackendEnd) => void = () => undefined;
 
+  #onReleased: () => void = () => undefined;
+
+  #writtenAtMs = 0;
+
+  /** Advertised by the head of the answer. */
+  #advertisedMs = 0;
+
+  /** Set once the answer is complete, since a broken one leaves no connection. */
+  #keepAliveMs = 0;
+
   #abortReason: RefusalReason | undefined;
 
   constructor(
@@ -60,6 +72,21 @@
     this.#onEnd = onEnd;
   }
 
+  /** Sets what is called after that, when the connection may carry another request. */
+  onceReleased(onReleased: () => void): void {
+    this.#onReleased = onReleased;
+  }
+
+  /** When the request was written, on the monotonic clock; 0 if it was not. */
+  get writtenAtMs(): number {
+    return this.#writtenAtMs;
+  }
+
+  /** Until when the server keeps the connection open at least, by its last answer; 0 if unknown. */
+  get keptUntilMs(): number {
+    return this.#keepAliveMs === 0 ? 0 : this.#writtenAtMs + this.#keepAliveMs;
+  }
+
   /** Ends the request; before it is written nothing is sent at all. */
   abort(reason: RefusalReason): void {
     this.#abortReason ??= reason;
@@ -75,6 +102,7 @@
       controller.abort(new CallError('A non-idempotent request is never written twice'));
     } else {
       this.#wasWritten = true;
+      this.#writtenAtMs = monotonicNowMs();
     }
   }
 
@@ -89,6 +117,7 @@
       return;
     }
     this.#status = status;
+    this.#advertisedMs = readKeepAliveMs(raw);
     if (status === statusUnavailable && this.#isNotRun(raw)) {
       this.#isRefused = true;
       const detail = 'the backend server refused the request';
@@ -110,6 +139,7 @@
 
   onResponseEnd(): void {
     this.#body?.end();
+    this.#keepAliveMs = this.#advertisedMs;
     this.#end(this.#status >= statusServerError && !this.#isRefused);
   }
 
@@ -147,5 +177,6 @@
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#onEnd({ hasFailed, hasRun: this.#wasWritten && !this.#isRefused });
+    this.#onReleased();
   }
 }
--- a/packages/calls/src/headers.ts
+++ b/packages/calls/src/headers.ts
@@ -98,3 +98,22 @@
 /** Value of a header of an answer, or undefined. */
 export const findHeader = (pairs: readonly HeaderPair[], name: string): string | undefined =>
   pairs.find(([other]) => other === name)?.[1];
+
+/**
+ * Time for which a server keeps an idle connection open, from its `Keep-Alive: timeout` parameter; 0
+ * if it names none or closes the connection. Takes names and values in turn.
+ *
+ * @example
+ * readKeepAliveMs(['Keep-Alive', 'timeout=5']); // 5000
+ */
+export const readKeepAliveMs = (raw: readonly string[]): number => {
+  let keepAliveMs = 0;
+  for (let at = 0; at + 1 < raw.length; at += 2) {
+    const name = raw[at]!.toLowerCase();
+    if (name === 'connection' && /\bclose\b/i.test(raw[at + 1]!)) return 0;
+    if (name === 'keep-alive') {
+      keepAliveMs = 1000 * Number(/\btimeout=(\d{1,9})\b/i.exec(raw[at + 1]!)?.[1] ?? 0);
+    }
+  }
+  return keepAliveMs;
+};
--- /dev/null
+++ b/packages/calls/src/proven-connections.ts
@@ -0,0 +1,87 @@
+import type { Client, Dispatcher } from 'undici';
+import type { BackendExchange } from './backend-exchange.js';
+import { ProvenConnection } from './proven-connection.js';
+
+/** Request that waits for a connection or is about to be written. */
+interface PendingRequest {
+  readonly options: Dispatcher.DispatchOptions;
+  readonly exchange: BackendExchange;
+  readonly deadlineAtMs: number;
+}
+
+/**
+ * Connections for non-idempotent requests. A connection is used again only if the server advertised,
+ * with `Keep-Alive: timeout`, to keep it open until after the deadline of the new request. The time
+ * counts from the last request, before the server starts to count it. An idle close that is due can
+ * therefore only meet a request whose deadline has passed, however long either process is paused.
+ *
+ * @example
+ * const connections = new ProvenConnections(130, () => new Client(origin));
+ * connections.dispatch(options, exchange, deadlineAtMs);
+ */
+export class ProvenConnections {
+  /** Last used connection last. */
+  readonly #idle: ProvenConnection[] = [];
+
+  readonly #open = new Set<ProvenConnection>();
+
+  readonly #waiting: PendingRequest[] = [];
+
+  constructor(
+    private readonly connectionsMax: number,
+    private readonly createClient: () => Client,
+  ) {}
+
+  /** Writes the request to a proven connection or to a new one, or queues it at the limit. */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    exchange: BackendExchange,
+    deadlineAtMs: number,
+  ): void {
+    const request = { options, exchange, deadlineAtMs };
+    const connection = this.#take(deadlineAtMs);
+    if (connection) this.#write(connection, request);
+    else this.#waiting.push(request);
+  }
+
+  async destroy(): Promise<void> {
+    await Promise.all([...this.#open].map(({ client }) => client.destroy()));
+  }
+
+  #take(deadlineAtMs: number): ProvenConnection | undefined {
+    const last = this.#idle.pop();
+    if (last?.isProvenFor(deadlineAtMs)) return last;
+    if (last) this.#drop(last);
+    return this.#open.size < this.connectionsMax ? this.#create() : undefined;
+  }
+
+  #create(): ProvenConnection {
+    const connection = new ProvenConnection(this.createClient());
+    this.#open.add(connection);
+    connection.client.on('disconnect', () => {
+      const at = this.#idle.indexOf(connection);
+      if (at < 0) return;
+      this.#idle.splice(at, 1);
+      this.#drop(connection);
+    });
+    return connection;
+  }
+
+  #write(connection: ProvenConnection, { options, exchange }: PendingRequest): void {
+    exchange.onceReleased(() => this.#release(connection, exchange));
+    connection.client.dispatch(options, exchange);
+  }
+
+  #release(connection: ProvenConnection, exchange: BackendExchange): void {
+    if (connection.noteEnd(exchange)) this.#idle.push(connection);
+    else this.#drop(connection);
+    const next = this.#waiting.shift();
+    if (next) this.dispatch(next.options, next.exchange, next.deadlineAtMs);
+  }
+
+  #drop(connection: ProvenConnection): void {
+    this.#open.delete(connection);
+    // Nothing runs on it; closing lets the end of its last answer pass through first.
+    connection.client.close().catch(() => undefined);
+  }
+}
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -1,15 +1,25 @@
 import { BodyChannel } from '@sequoiafield/transport';
+import { monotonicNowMs } from '@sequoiafield/tables';
 import { RefusalReason, type CallOpen } from '@sequoiafield/types';
-import { Pool, type Dispatcher } from 'undici';
+import { Client, Pool, type Dispatcher } from 'undici';
 import type { BackendClient, BackendEnd, BackendResult } from './backend-client.js';
 import { BackendExchange } from './backend-exchange.js';
 import { WrittenClassifier, type FailureClassifier } from './failure-classifier.js';
 import { backendRequestHeaders } from './headers.js';
+import { ProvenConnections } from './proven-connections.js';
 
 /** Idle time after which this side drops a kept-alive connection, well under common server limits. */
 const keepAliveTimeoutMs = 2000;
 const connectTimeoutMs = 1000;
 
+const connectionOptions = {
+  pipelining: 1,
+  keepAliveTimeout: keepAliveTimeoutMs,
+  connect: { timeout: connectTimeoutMs },
+  headersTimeout: 0,
+  bodyTimeout: 0,
+};
+
 /** Options of the client of the own backend server. */
 export interface BackendClientOptions {
   /** Such as `http://127.0.0.1:8080`. */
@@ -17,8 +27,9 @@
   readonly connectionsMax: number;
   readonly classifier?: FailureClassifier;
   /**
-   * Whether non-idempotent requests get a connection of their own. Only tests switch it off, to show
-   * the lost requests that it prevents.
+   * Connections of non-idempotent requests: unset, they are used again as `ProvenConnections` says;
+   * true, each request gets its own, also from a server that closes earlier than it advertised; false,
+   * any kept-alive connection is used, by which tests show the lost requests that the rule prevents.
    */
   readonly usesFreshConnections?: boolean;
 }
@@ -28,22 +39,24 @@
  *
  * Keep-alive race: a server may close an idle connection at the moment a request is written to it.
  * The request is then lost without a trace of whether it ran. An idempotent request may run again,
- * so it uses the pool with kept-alive connections. A non-idempotent request goes to a second pool, in
- * which every request has `reset` set: it carries `connection: close`, its connection is destroyed
- * after the answer, and the next request opens one after the decision to send it. No connection of
- * that pool is ever idle, and a request is never written a second time.
+ * so it uses the pool with kept-alive connections. A non-idempotent request is never written a second
+ * time, and uses a connection again only while the server has promised to keep it open.
  */
 export class UndiciBackendClient implements BackendClient {
   readonly #pool: Pool;
 
+  /** Every request of it has `reset` set, so that its connection is destroyed after the answer. */
   readonly #freshPool: Pool;
 
+  readonly #proven: ProvenConnections;
+
   readonly #classifier: FailureClassifier;
 
   constructor(private readonly options: BackendClientOptions) {
     this.#classifier = options.classifier ?? new WrittenClassifier();
     this.#pool = this.#openPool();
     this.#freshPool = this.#openPool();
+    this.#proven = new ProvenConnections(options.connectionsMax, () => this.#openClient());
   }
 
   async send(
@@ -53,8 +66,6 @@
     signal: AbortSignal,
     onEnd: (end: BackendEnd) => void,
   ): Promise<BackendResult> {
-    const isPooled = open.isIdempotent || this.options.usesFreshConnections === false;
-    const pool = isPooled ? this.#pool : this.#freshPool;
     const hasBody = open.method !== 'HEAD';
     const exchange = new BackendExchange(open.isIdempotent, hasBody, this.#classifier);
     const onAbort = (): void => exchange.abort(RefusalReason.Cancelled);
@@ -67,21 +78,31 @@
       onEnd(end);
     });
     const whole = body instanceof BodyChannel ? body.takeWhole() : undefined;
-    pool.dispatch(
-      {
-        method: open.method,
-        path: open.path,
-        headers: backendRequestHeaders(open, remainingMs, whole !== undefined),
-        body: this.#toUndiciBody(whole, body),
-        reset: !isPooled,
-      },
-      exchange,
-    );
+    const request: Dispatcher.DispatchOptions = {
+      method: open.method,
+      path: open.path,
+      headers: backendRequestHeaders(open, remainingMs, whole !== undefined),
+      body: this.#toUndiciBody(whole, body),
+    };
+    this.#dispatch(request, exchange, open.isIdempotent, monotonicNowMs() + remainingMs);
     return exchange.result;
   }
 
   async close(): Promise<void> {
-    await Promise.all([this.#pool.destroy(), this.#freshPool.destroy()]);
+    const parts = [this.#pool, this.#freshPool, this.#proven];
+    await Promise.all(parts.map((part) => part.destroy()));
+  }
+
+  #dispatch(
+    request: Dispatcher.DispatchOptions,
+    exchange: BackendExchange,
+    isIdempotent: boolean,
+    deadlineAtMs: number,
+  ): void {
+    const { usesFreshConnections } = this.options;
+    if (isIdempotent || usesFreshConnections === false) this.#pool.dispatch(request, exchange);
+    else if (usesFreshConnections) this.#freshPool.dispatch({ ...request, reset: true }, exchange);
+    else this.#proven.dispatch(request, exchange, deadlineAtMs);
   }
 
   #toUndiciBody(
@@ -95,12 +116,12 @@
 
   #openPool(): Pool {
     return new Pool(this.options.origin, {
+      ...connectionOptions,
       connections: this.options.connectionsMax,
-      pipelining: 1,
-      keepAliveTimeout: keepAliveTimeoutMs,
-      connect: { timeout: connectTimeoutMs },
-      headersTimeout: 0,
-      bodyTimeout: 0,
     });
   }
+
+  #openClient(): Client {
+    return new Client(this.options.origin, connectionOptions);
+  }
 }
