Log answers that are dropped as late

Cause: event 1500 (lateAnswerDropped) was in the catalogue, but a late answer was only counted. Ruled out: a line per answer, which a lagging receiver would turn into a line per call; counting the data and end frames of such an answer as well. Measured: node scripts/run-tests.js packages/transport/, 19 of 19 pass.

--- a/packages/transport/src/link-system.ts
+++ b/packages/transport/src/link-system.ts
@@ -2,6 +2,7 @@
 import { tickIntervalMs } from '@sequoiafield/types';
 import type { AttemptGuard } from './attempt-guard.js';
 import type { InboundSession } from './inbound-session.js';
+import type { LateAnswerLog } from './late-answer-log.js';
 import type { TransportLimits } from './limits.js';
 import type { OutboundLink } from './outbound-link.js';
 
@@ -14,6 +15,7 @@
     private readonly accepted: ReadonlySet<InboundSession>,
     private readonly guard: AttemptGuard,
     private readonly limits: TransportLimits,
+    private readonly lateAnswers: LateAnswerLog,
   ) {}
 
   run(tick: Tick): void {
@@ -26,5 +28,6 @@
       if (connection.silentMs > this.limits.acceptedSilentMs) connection.terminate();
     }
     this.guard.sweep(tick.nowMs);
+    this.lateAnswers.run(tick.nowMs);
   }
 }
--- a/packages/transport/src/outbound-link.ts
+++ b/packages/transport/src/outbound-link.ts
@@ -5,6 +5,7 @@
 import type { PeerIdentity } from './connection.js';
 import type { TransportCounters } from './counters.js';
 import type { Exchange } from './exchange.js';
+import type { LateAnswerLog } from './late-answer-log.js';
 import type { TransportLimits } from './limits.js';
 import type { TransportMechanisms } from './mechanisms.js';
 import { OutboundSession, type OutboundSessionOwner } from './outbound-session.js';
@@ -20,6 +21,7 @@
   /** Opens a WebSocket to a member. */
   dial(member: MemberAnnouncement): WebSocket;
   onPeerDraining(peer: PeerIdentity): void;
+  readonly lateAnswers: LateAnswerLog;
 }
 
 /**
@@ -143,6 +145,10 @@
     this.context.onPeerDraining(peer);
   }
 
+  onLateAnswer(): void {
+    this.context.lateAnswers.note(this.member.id);
+  }
+
   #watch(active: OutboundSession, tick: Tick, isUsed: boolean): void {
     const { limits } = this.context;
     const { connection } = active;
--- a/packages/transport/src/outbound-session.ts
+++ b/packages/transport/src/outbound-session.ts
@@ -10,6 +10,8 @@
   onSessionReady(session: OutboundSession, peer: PeerIdentity): void;
   onSessionClosed(session: OutboundSession): void;
   onPeerDraining(peer: PeerIdentity): void;
+  /** An answer came for an attempt that is over. */
+  onLateAnswer(): void;
 }
 
 interface Entry {
@@ -61,6 +63,7 @@
     const entry = this.mechanisms.matcher.match(id, this.#entries);
     if (entry) entry.exchange.onFrame(kind, payload);
     else if (kind !== FrameKind.Window) this.counters.lateFramesDropped += 1;
+    if (!entry && kind === FrameKind.Answer) this.owner.onLateAnswer();
   }
 
   onClosed(): void {
--- a/packages/transport/src/transport.ts
+++ b/packages/transport/src/transport.ts
@@ -21,6 +21,7 @@
 import { TransportCounters } from './counters.js';
 import { encodeFrame, FrameKind } from './frames.js';
 import { InboundSession, type RequestHandler } from './inbound-session.js';
+import { LateAnswerLog } from './late-answer-log.js';
 import { LinkSystem } from './link-system.js';
 import { defaultTransportLimits, messageMaxBytes, type TransportLimits } from './limits.js';
 import { createMechanisms, type TransportMechanisms } from './mechanisms.js';
@@ -72,6 +73,7 @@
     const { self, logger, random } = options;
     this.#limits = { ...defaultTransportLimits, ...options.limits };
     this.#mechanisms = { ...createMechanisms(self.incarnation), ...options.mechanisms };
+    const lateAnswers = new LateAnswerLog(logger);
     this.#linkContext = {
       self: { id: self.id, incarnation: self.incarnation },
       limits: this.#limits,
@@ -81,9 +83,10 @@
       random,
       dial: (member) => this.#dial(member),
       onPeerDraining: (peer) => this.#onPeerDraining(peer),
+      lateAnswers,
     };
     const { guard } = this.#mechanisms;
-    this.systems = [new LinkSystem(this.#links, this.#accepted, guard, this.#limits)];
+    this.systems = [new LinkSystem(this.#links, this.#accepted, guard, this.#limits, lateAnswers)];
   }
 
   get sender(): CallSender {
