Name the metrics of the call path once

Cause: the counters of the call path begin with "calls", so their metrics were named sequoiafield_calls_calls_*. Change: a counter that begins with the name of its part does not repeat it.

--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -4,9 +4,18 @@
 
 const prefix = 'sequoiafield_';
 
+const toSnakeCase = (key: string): string =>
+  key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+
+/** Name of a metric; a counter that begins with the name of its part does not repeat it. */
+const metricName = (part: string, key: string): string => {
+  const name = toSnakeCase(key);
+  return prefix + (name.startsWith(`${part}_`) ? name : `${part}_${name}`);
+};
+
 const countersOf = (part: string, counters: object): readonly MetricSource[] =>
   Object.keys(counters).map((key) => ({
-    name: `${prefix}${part}_${key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`,
+    name: metricName(part, key),
     help: `${key} of the ${part} since the start of the process`,
     read: () => (counters as Record<string, number>)[key] ?? 0,
   }));
