--- a/packages/bench/src/call/benchmark.ts
+++ b/packages/bench/src/call/benchmark.ts
@@ -25,6 +25,12 @@
 const warmUpMs = 3000;
 const warmUpPhases = phases.filter(({ callsPerSecond }) => callsPerSecond === 500);
 
+/** Policies of connections for non-idempotent calls, for comparison. */
+const baselines = [
+  ['keep-alive', ' (any kept-alive connection)'],
+  ['fresh', ' (own connection per call)'],
+] as const;
+
 const phaseMs = (phase: Phase, isQuick: boolean): number => {
   const wantedMs = (callsPerPhase / phase.callsPerSecond) * 1000;
   return isQuick ? quickPhaseMs : Math.min(phaseMaxMs, Math.max(phaseMinMs, wantedMs));
@@ -47,6 +53,8 @@
   'added_p999_us',
   'node_a_us/call',
   'node_b_us/call',
+  'lag_p99_us',
+  'queued',
 ];
 
 /** Added latency and processor time of a call through the mesh against the direct call. */
@@ -63,12 +71,9 @@
     await this.#runMesh(new Mesh(), phases, '', options.isQuick);
     if (options.hasBaseline) {
       const posts = phases.filter(({ method }) => method === 'POST');
-      await this.#runMesh(
-        new Mesh(['keep-alive']),
-        posts,
-        ' (kept-alive connections)',
-        options.isQuick,
-      );
+      for (const [policy, suffix] of baselines) {
+        await this.#runMesh(new Mesh([policy]), posts, suffix, options.isQuick);
+      }
     }
     const figures = this.#figures;
     const added = (key: string): number => Number(figures[`${key}_added_p99_us`]);
@@ -96,7 +101,7 @@
   }
 
   #add(phase: Phase, suffix: string, outcome: PhaseOutcome): void {
-    const { direct, mesh: through } = outcome.result;
+    const { direct, mesh: through, generator } = outcome.result;
     const added = [
       through.p50Us - direct.p50Us,
       through.p99Us - direct.p99Us,
@@ -116,6 +121,7 @@
       ...[through.p50Us, through.p99Us, through.p999Us],
       ...added,
       ...[outcome.nearUs, outcome.farUs],
+      ...[generator.lagP99Us, generator.queued],
     ]);
   }
 }
