Ask for a head as soon as any datagram shows a newer one

Cause: a head is pushed to 4 random peers at first sight. Each node is chosen by nobody with a probability of (1 - 4/29)^29 = 1.4 %, so about every third head leaves out one of 30 nodes. Repair compared heads only on probes and acks, so such a node waited for its next probe, up to 1 s. Drains are not needed for the fault: it is as frequent without them. Change: a node that receives any datagram with a higher head version asks its sender for the head, at most once per 100 ms; the answer to a register summary puts the head first, so that a page of many registers cannot displace it.

--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -55,6 +55,8 @@
 const pushGatherMs = 20;
 /** A push that waited longer for the byte budget has meanwhile travelled as a rumour. */
 const pushExpiryMs = 3000;
+/** Shortest time between two requests for a head that datagrams of others showed. */
+const headRequestIntervalMs = 100;
 
 /** What a gossip object needs of its node. */
 export interface GossipParts {
@@ -91,6 +93,8 @@
 
   #pushedAtMs = Number.NEGATIVE_INFINITY;
 
+  #headRequestedAtMs = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly parts: GossipParts) {
     this.on(MessageType.RegisterSummary, (message) => this.#answerSummary(message));
     parts.port.onMessage((bytes) => this.#receive(bytes));
@@ -284,8 +288,9 @@
     const { members, registers, policy } = this.parts;
     const isExchange = message.type === MessageType.Ping || message.type === MessageType.Ack;
     const peer = members.get(message.fromId);
-    if (!policy.isRepairing || !isExchange || !peer) return;
-    if (message.registerHash === registers.hash) return;
+    if (!policy.isRepairing || !peer) return;
+    if (message.headRank > registers.headRank) this.#requestHead(peer);
+    if (!isExchange || message.registerHash === registers.hash) return;
     const head = registers.read(RegisterKind.Head, headKey);
     if (head && head.rank > message.headRank) {
       this.send(MessageType.Push, peer, { items: [encodeRegister(head)] });
@@ -293,6 +298,17 @@
     this.#sendSummary(peer, false);
   }
 
+  /**
+   * Asks the sender of any datagram that shows a newer head. The push leaves out each node with a
+   * probability of e^-4, and without this such a node would wait for the next probe.
+   */
+  #requestHead(peer: GossipRow): void {
+    const nowMs = monotonicNowMs();
+    if (nowMs - this.#headRequestedAtMs < headRequestIntervalMs) return;
+    this.#headRequestedAtMs = nowMs;
+    this.#sendSummary(peer, true);
+  }
+
   #sendSummary(peer: GossipRow, isReply: boolean): void {
     if (!this.#budget.hasLeft()) return;
     const argument = summarize(this.parts.registers, isReply);
@@ -304,7 +320,7 @@
     const peer = this.parts.members.get(message.fromId);
     const summary = readSummary(message.argument);
     if (!peer) return;
-    const items = missingItems(this.parts.registers, summary);
+    const items = missingItems(this.parts.registers, summary, message.headRank);
     if (items.length > 0) this.send(MessageType.Push, peer, { items });
     if (isBehind(this.parts.registers, summary) && !summary.isReply) this.#sendSummary(peer, true);
   }
--- a/packages/membership/src/register-summary.ts
+++ b/packages/membership/src/register-summary.ts
@@ -1,7 +1,7 @@
 import { monotonicNowMs } from '@sequoiafield/tables';
-import type { RegisterKind } from '@sequoiafield/types';
+import { RegisterKind, type RegisterEntry } from '@sequoiafield/types';
 import { failure } from './failure.js';
-import type { RegisterTable } from './register-table.js';
+import { headKey, type RegisterTable } from './register-table.js';
 import { itemOverheadBytes } from './rumour-queue.js';
 import { encodeRegister } from './wire.js';
 
@@ -41,13 +41,24 @@
   return { isReply: Boolean(isReply), ranks };
 };
 
-/** Encoded entries that the sender of a summary lacks, at most one datagram of them. */
-export const missingItems = (registers: RegisterTable, summary: RegisterSummary): Uint8Array[] => {
+/**
+ * Encoded entries that the sender of a summary lacks, at most one datagram of them; the head comes
+ * first, so that a page of many registers never displaces it.
+ */
+export const missingItems = (
+  registers: RegisterTable,
+  summary: RegisterSummary,
+  headRank: number,
+): Uint8Array[] => {
   const theirs = new Map(summary.ranks.map(([kind, key, rank]) => [`${kind} ${key}`, rank]));
+  const rankOf = ({ kind, key }: RegisterEntry): number =>
+    kind === RegisterKind.Head ? headRank : (theirs.get(`${kind} ${key}`) ?? -1);
+  const head = registers.read(RegisterKind.Head, headKey);
+  const others = [...registers.entries()].filter((entry) => entry !== head);
   const items: Uint8Array[] = [];
   let usedBytes = 0;
-  for (const entry of registers.entries()) {
-    if ((theirs.get(`${entry.kind} ${entry.key}`) ?? -1) < entry.rank) {
+  for (const entry of head ? [head, ...others] : others) {
+    if (rankOf(entry) < entry.rank) {
       const bytes = encodeRegister(entry);
       usedBytes += bytes.length + itemOverheadBytes;
       if (usedBytes > answerBytes && items.length > 0) break;
