Count unanswered attempts per backend server

Cause: an unanswered attempt did not name the node that it was sent to, so the test of unanswered attempts could not leave out a backend server as the tests of failures and slow calls do.

Change: `recordUnanswered` takes the member id; the evidence row and its datagram carry it as an optional last field, which older nodes ignore; the test of unanswered attempts runs without each group of backend servers, like the others. Callers send fresh rows first, since there are more of them now.

--- a/packages/calls/src/call-run.ts
+++ b/packages/calls/src/call-run.ts
@@ -163,7 +163,7 @@
     const refusal = isTimeout ? this.#asTimeout(received) : received;
     const isUnknown = refusal.outcome === RefusalOutcome.Unknown;
     if (isUnknown && refusal.reason === RefusalReason.DeadlinePassed) {
-      this.options.evidence.recordUnanswered(service.name, route.name, version);
+      this.options.evidence.recordUnanswered(service.name, route.name, version, member.id);
     }
     if (
       refusal.reason === RefusalReason.VersionOverShare ||
--- a/packages/node/src/burn-recorder.ts
+++ b/packages/node/src/burn-recorder.ts
@@ -13,8 +13,8 @@
     this.burn.record(evidence.service, evidence.hasFailed, evidence.latencyMs);
   }
 
-  recordUnanswered(service: string, route: string, backendVersion: string): void {
-    this.rollout.recordUnanswered(service, route, backendVersion);
+  recordUnanswered(service: string, route: string, backendVersion: string, memberId: string): void {
+    this.rollout.recordUnanswered(service, route, backendVersion, memberId);
     this.burn.record(service, true, Number.POSITIVE_INFINITY);
   }
 }
--- a/packages/rollout/src/evidence-blocks.ts
+++ b/packages/rollout/src/evidence-blocks.ts
@@ -36,6 +36,8 @@
   readonly unanswered: SidePair;
   /** The new version's part of `dataCentres`, by reporter. */
   readonly reporters: Map<string, ReporterCounts>;
+  /** The new version's part of `unanswered`, by the node that the attempts were sent to. */
+  readonly targets: Map<string, SideCounts>;
 }
 
 const emptyCounts = (): SideCounts => ({
@@ -51,6 +53,7 @@
   dataCentres: new Map<string, SidePair>(),
   unanswered: emptyPair(),
   reporters: new Map<string, ReporterCounts>(),
+  targets: new Map<string, SideCounts>(),
 });
 
 const valueOf = <Key, Value>(map: Map<Key, Value>, key: Key, create: () => Value): Value => {
@@ -109,8 +112,12 @@
     if (!isCounted) return;
     const pair = isEnded ? valueOf(block.dataCentres, row.dataCentre, emptyPair) : block.unanswered;
     addDifference(row.side === VersionSide.New ? pair.next : pair.old, row, before);
-    if (!isEnded || row.side === VersionSide.Old) return;
-    const { reporterId, dataCentre } = row;
+    if (row.side === VersionSide.Old) return;
+    const { reporterId, dataCentre, targetId } = row;
+    if (!isEnded) {
+      if (targetId) addDifference(valueOf(block.targets, targetId, emptyCounts), row, before);
+      return;
+    }
     const reporter = valueOf(block.reporters, reporterId, () => ({
       dataCentre,
       counts: emptyCounts(),
@@ -149,7 +156,7 @@
  */
 export const mergeBlocks = (blocks: Iterable<RouteBlock>): RouteBlock => {
   const merged = emptyBlock();
-  for (const { dataCentres, unanswered, reporters } of blocks) {
+  for (const { dataCentres, unanswered, reporters, targets } of blocks) {
     dataCentres.forEach((pair, name) =>
       addPair(valueOf(merged.dataCentres, name, emptyPair), pair),
     );
@@ -158,6 +165,7 @@
       const sum = valueOf(merged.reporters, id, () => ({ dataCentre, counts: emptyCounts() }));
       addCounts(sum.counts, counts);
     });
+    targets.forEach((counts, id) => addCounts(valueOf(merged.targets, id, emptyCounts), counts));
   }
   return merged;
 };
--- a/packages/rollout/src/evidence-exchange.ts
+++ b/packages/rollout/src/evidence-exchange.ts
@@ -124,7 +124,7 @@
     );
     if (rows.length === 0) return;
     const kind = DirectMessageKind.CallerEvidence;
-    this.#send(this.#judges(move), kind, move, rows, messageMinBytes * 2);
+    this.#send(this.#judges(move), kind, move, this.#freshFirst(rows), messageMinBytes * 2);
   }
 
   #ownRows(move: MoveState): EvidenceRow[] {
--- a/packages/rollout/src/evidence-message.ts
+++ b/packages/rollout/src/evidence-message.ts
@@ -10,6 +10,7 @@
   failures: number,
   overLimit: number,
   buckets: readonly number[],
+  targetId?: string,
 ];
 
 /** Rows of one reporter on the wire. */
@@ -39,7 +40,8 @@
 };
 
 /** Upper bound of what `msgpackr` writes for a row with counts below 2^32. */
-const wireBytes = (wire: WireRow): number => wire[0].length + 36 + 3 * wire[7].length;
+const wireBytes = (wire: WireRow): number =>
+  wire[0].length + 36 + 3 * wire[7].length + (wire[8] === undefined ? 0 : wire[8].length + 2);
 
 const encodeRow = (row: EvidenceRow): WireRow => [
   row.route,
@@ -50,6 +52,7 @@
   row.failures,
   row.overLimit,
   encodeBuckets(row.buckets),
+  ...(row.targetId === '' ? ([] as const) : ([row.targetId] as const)),
 ];
 
 /**
@@ -92,11 +95,12 @@
     if (!isCount(index) || !isCount(count) || index >= latencyBucketCount) return undefined;
     buckets[index] = count;
   }
-  const [route, side, source, stage, calls, failures, overLimit] = wire;
+  const [route, side, source, stage, calls, failures, overLimit, , targetId = ''] = wire;
+  if (typeof targetId !== 'string') return undefined;
   if (side > 1 || source > 1 || failures > calls) return undefined;
   const [reporterId, incarnation, dataCentre] = group;
   return {
-    ...{ reporterId, incarnation, dataCentre, route, side, source, stage },
+    ...{ reporterId, incarnation, dataCentre, route, side, source, targetId, stage },
     ...{ calls, failures, overLimit, buckets, changedAtMs: 0 },
   };
 };
--- a/packages/rollout/src/evidence-row.ts
+++ b/packages/rollout/src/evidence-row.ts
@@ -32,6 +32,8 @@
   readonly route: string;
   readonly side: VersionSide;
   readonly source: EvidenceSource;
+  /** Node that an unanswered attempt was sent to; empty for ended calls, or if not known. */
+  readonly targetId: string;
   /** Stage that the reporter knew when the calls ended; 0 for the old version. */
   readonly stage: number;
 }
@@ -55,7 +57,7 @@
  * table.get(evidenceRowId(row));
  */
 export const evidenceRowId = (key: EvidenceKey): string =>
-  `${key.reporterId}\n${key.incarnation}\n${key.route}\n${key.side}\n${key.source}\n${key.stage}`;
+  `${key.reporterId}\n${key.incarnation}\n${key.route}\n${key.side}\n${key.source}\n${key.targetId}\n${key.stage}`;
 
 /**
  * Row with all counters at 0.
@@ -70,6 +72,7 @@
   route: key.route,
   side: key.side,
   source: key.source,
+  targetId: key.targetId,
   stage: key.stage,
   calls: 0,
   failures: 0,
--- a/packages/rollout/src/fakes/fake-traffic.ts
+++ b/packages/rollout/src/fakes/fake-traffic.ts
@@ -114,7 +114,7 @@
         random,
       },
     });
-    if (outcome.isHung) caller.recorder.recordUnanswered(service, route, version);
+    if (outcome.isHung) caller.recorder.recordUnanswered(service, route, version, callee.id);
     else callee.recorder.recordEnded({ service, route, backendVersion: version, ...outcome });
     this.#count(version, outcome, provenStage < unprovenStages);
   }
--- a/packages/rollout/src/recorder.ts
+++ b/packages/rollout/src/recorder.ts
@@ -43,9 +43,10 @@
     }
   }
 
-  recordUnanswered(service: string, route: string, backendVersion: string): void {
+  recordUnanswered(service: string, route: string, backendVersion: string, memberId: string): void {
     const move = this.book.runningMove(service);
-    const row = move && this.#row(move, route, backendVersion, EvidenceSource.Unanswered);
+    const source = EvidenceSource.Unanswered;
+    const row = move && this.#row(move, route, backendVersion, source, memberId);
     if (!row) return;
     row.calls += 1;
     row.failures += 1;
@@ -64,6 +65,7 @@
     route: string,
     backendVersion: string,
     source: EvidenceSource,
+    targetId = '',
   ): EvidenceRow | undefined {
     const { intent } = move;
     const isNew = backendVersion === intent.toVersion;
@@ -76,6 +78,7 @@
       route,
       side: isNew ? VersionSide.New : VersionSide.Old,
       source,
+      targetId,
       stage: isNew ? this.#stageOf(move) : 0,
     });
   }
--- a/packages/rollout/src/route-tests.ts
+++ b/packages/rollout/src/route-tests.ts
@@ -2,6 +2,7 @@
 import {
   addCounts,
   newCounts,
+  type ReporterCounts,
   type RouteBlock,
   type SideCounts,
   type SidePair,
@@ -20,14 +21,28 @@
 /** Smallest difference in the failure rate that matters, as a part of the service's limit. */
 const materialPartOfLimit = 0.25;
 /**
- * Seconds with unanswered attempts that it takes to blame the version. Callers eject a single hung
- * backend server within a few seconds, and the attempts do not tell which one it was.
+ * Seconds with unanswered attempts that it takes to blame the version. A version may run on a single
+ * backend server, which callers eject within a few seconds if only it hangs.
  */
 const unansweredSecondsMin = 8;
 /** Shortest time from the first to the last of these seconds, and the pause that ends it. */
 const unansweredLastingS = 15;
 const unansweredPauseMaxS = 60;
 
+/** Attempts on each new backend server: calls that it ended, and unanswered ones as failures. */
+const attemptsByServer = ({ reporters, targets }: RouteBlock): Map<string, ReporterCounts> => {
+  const servers = new Map<string, ReporterCounts>();
+  reporters.forEach(({ counts }, id) => {
+    servers.set(id, { dataCentre: '', counts: { ...newCounts(), calls: counts.calls } });
+  });
+  targets.forEach(({ calls, failures }, id) => {
+    const { counts } = servers.get(id) ?? { counts: newCounts() };
+    const sum = { ...counts, calls: counts.calls + calls, failures };
+    servers.set(id, { dataCentre: '', counts: sum });
+  });
+  return servers;
+};
+
 /** Tests of one route. */
 export class RouteTests {
   readonly kinds: Readonly<Record<EvidenceKind, SeparatedTest>>;
@@ -88,15 +103,22 @@
     this.kinds[kind].observe(pairs, reporters, count);
   }
 
-  /** Pools the data centres, since an attempt without answer does not tell where it was lost. */
-  #observeUnanswered({ unanswered }: RouteBlock, ended: SidePair): void {
+  /**
+   * Pools the data centres, since callers of all of them report an attempt without answer, but keeps
+   * the backend servers apart, so that a single hung one is not taken for a bad version.
+   */
+  #observeUnanswered(block: RouteBlock, ended: SidePair): void {
+    const { unanswered } = block;
     const withEnded = (side: 'old' | 'next'): BernoulliCounts => ({
       calls: ended[side].calls + unanswered[side].calls,
       bad: unanswered[side].failures,
     });
     const attempts = new Map([['', { old: withEnded('old'), next: withEnded('next') }]]);
     const test = this.kinds[EvidenceKind.Unanswered];
-    test.observe(attempts, new Map(), () => ({ calls: 0, bad: 0 }));
+    test.observe(attempts, attemptsByServer(block), ({ calls, failures }) => ({
+      calls,
+      bad: failures,
+    }));
     this.#second += 1;
     if (this.#second - this.#unanswered.last > unansweredPauseMaxS) {
       this.#unanswered = { count: 0, first: this.#second, last: this.#second };
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -45,8 +45,11 @@
 export interface EvidenceRecorder {
   /** Called by the receiving node when a call ended on its own backend server. */
   recordEnded(evidence: CallEvidence): void;
-  /** Called by the calling node when an attempt got no answer in time. */
-  recordUnanswered(service: string, route: string, backendVersion: string): void;
+  /**
+   * Called by the calling node when an attempt got no answer in time. `memberId` is the node beside
+   * the backend server that it was sent to.
+   */
+  recordUnanswered(service: string, route: string, backendVersion: string, memberId: string): void;
 }
 
 /** Result of matching a call with the configuration in force. */
