Finish a move whose new version fails on a minority of its servers

Cause: the failures of one faulty backend server were not held against the version by the test, but they counted as excess in the stage gate, which then asked for more calls than ever came. The move stayed undecided.

Change: with at least three new backend servers seen, a group of servers is faulty if the evidence of all calls reaches the take-back threshold and nothing speaks against the version without the group (log E-value of 0 or less). The gate then counts neither its failures nor the calls of the servers in it that fail more than the limit, and the reason of "done" names these. Fewer than half of the seen servers may be faulty. With one of two servers bad the move is still held to the end, since either may be the odd one. Operators expect a version to be finished and the broken instance to be named; callers eject it meanwhile.

Ruled out: the least excess over all groups without the evidence of a fault. One failure seen at 3 calls/s would then never count.

Conclusion: one bad server of three or more is named and does not hold the move.

--- a/packages/bench/src/moves/cases.ts
+++ b/packages/bench/src/moves/cases.ts
@@ -163,6 +163,7 @@
   create('good, one new server fails 5 s', false, 40, 8, oneServer({ failureRate: 1 }, 5000)),
   create('good, one new server cold 10 s', false, 40, 8, oneServer({ medianMs: 200 }, 10_000)),
   create('good, one new server hangs 5 s', false, 40, 8, oneServer({ isHung: true }, 5000)),
+  create('good, one new server always fails', false, 40, 8, oneServer({ failureRate: 1 }, 120_000)),
 ];
 
 /** All cases, good ones first. */
--- a/packages/bench/src/moves/fixed-threshold-test.ts
+++ b/packages/bench/src/moves/fixed-threshold-test.ts
@@ -42,6 +42,10 @@
     return 0;
   }
 
+  faultyServers(): ReadonlySet<string> {
+    return new Set();
+  }
+
   forgetUncompared(): void {
     // The threshold knows no comparison.
   }
--- a/packages/rollout/src/faults.test.ts
+++ b/packages/rollout/src/faults.test.ts
@@ -216,6 +216,7 @@
   logSuspicion: () => 0,
   beginStage: () => undefined,
   stageExcess: () => 0,
+  faultyServers: () => new Set(),
   forgetUncompared: () => undefined,
 };
 
--- a/packages/rollout/src/judge-system.ts
+++ b/packages/rollout/src/judge-system.ts
@@ -120,7 +120,7 @@
     const { stageSinceMs, test } = judged;
     const { nowMs, nowUnixMs } = tick;
     if (this.parts.gate.isProven({ move, test, filter, nowMs, nowUnixMs, stageSinceMs })) {
-      this.#advance(move, nowUnixMs);
+      this.#advance(move, test, nowUnixMs);
     }
   }
 
@@ -142,14 +142,16 @@
     return true;
   }
 
-  #advance(move: MoveState, nowUnixMs: number): void {
+  #advance(move: MoveState, test: VersionTest, nowUnixMs: number): void {
     const stage = move.provenStage + 1;
     const { id: moveId } = move.intent;
     const provenPercent = stagePercents[stage - 1];
     this.registers.publishStage(move.intent, stage);
     this.logger.log(logEvents.moveStageProven, { moveId, stage, provenPercent });
     if (stage < stageCount) return;
-    this.#publish(move, MoveVerdict.Done, 'all stages are proven', nowUnixMs);
+    const faulty = [...test.faultyServers()].sort().join(', ');
+    const reason = `all stages are proven${faulty && `; faulty backend server: ${faulty}`}`;
+    this.#publish(move, MoveVerdict.Done, reason, nowUnixMs);
     this.logger.log(logEvents.moveDone, { moveId, service: move.service.name });
   }
 
--- a/packages/rollout/src/separated-test.test.ts
+++ b/packages/rollout/src/separated-test.test.ts
@@ -39,3 +39,27 @@
   );
   assert.equal(observeSeconds(20, [2]).reaches(logThreshold, logSlack).isWorse, true);
 });
+
+test('a faulty backend server is named and its failures do not hold the stage', () => {
+  // Guards against a good version that stays undecided for one faulty backend server, and against a
+  // version whose failures are put down to its servers. The excess of all calls is the mechanism
+  // switched off.
+  const namesOf = (failures: readonly number[]): string[] => [
+    ...observeSeconds(20, failures).faultyServers(logThreshold),
+  ];
+  assert.deepEqual(namesOf([2, 0, 0]), ['node-0']);
+  assert.deepEqual(namesOf([0, 0, 0, 0, 2, 0]), ['node-4']);
+  const nobody = {
+    'one of two': [2, 0],
+    'two of three': [2, 2, 0],
+    all: [1, 1, 1],
+    none: [0, 0, 0],
+  };
+  Object.entries(nobody).forEach(([name, failures]) =>
+    assert.deepEqual(namesOf(failures), [], name),
+  );
+  const one = observeSeconds(20, [2, 0, 0]);
+  assert.equal(one.stageExcess(logThreshold), 0);
+  assert.ok(one.all.stageExcess > 10, `${one.all.stageExcess} failures in excess`);
+  assert.ok(observeSeconds(20, [2, 0]).stageExcess(logThreshold) > 10);
+});
--- a/packages/rollout/src/separated-test.ts
+++ b/packages/rollout/src/separated-test.ts
@@ -2,7 +2,10 @@
 import type { BernoulliCounts } from './e-variables.js';
 import { KindTest } from './kind-test.js';
 import type { CountsPair } from './stratum.js';
+import { Window } from './window.js';
 
+/** Fewest new backend servers of which one can be called faulty; of two, either may be the odd one. */
+const serversMin = 3;
 /** Groups of new backend servers; each group is left out of one of the tests. */
 const groupCount = 4;
 
@@ -24,6 +27,8 @@
 
   readonly #groups = new Map<string, number>();
 
+  readonly #servers = new Map<string, Window>();
+
   constructor(createTest: () => KindTest) {
     this.all = createTest();
     this.#withoutGroup = Array.from({ length: groupCount }, createTest);
@@ -48,6 +53,24 @@
     };
   }
 
+  /**
+   * Backend servers that are at fault rather than their version: the evidence of all calls reaches
+   * the threshold, and without the group of these servers nothing speaks against the version. They
+   * must be fewer than half of those seen.
+   */
+  faultyServers(logThreshold: number): ReadonlySet<string> {
+    const group = this.#faultyGroup(logThreshold);
+    const ids = [...this.#groups.keys()].filter((id) => this.#groups.get(id) === group);
+    const { limitRate } = this.all;
+    return new Set(ids.filter((id) => (this.#servers.get(id)?.rate ?? 0) > limitRate));
+  }
+
+  /** Bad calls of the stage beyond the old version's rate, those of faulty servers left out. */
+  stageExcess(logThreshold: number): number {
+    const group = this.#faultyGroup(logThreshold);
+    return (this.#withoutGroup[group ?? -1] ?? this.all).stageExcess;
+  }
+
   /** 0 unless the limit is broken in most data centres. */
   get limitedLogWealth(): number {
     return Math.min(
@@ -65,6 +88,11 @@
     reporters.forEach((_, id) => {
       if (!this.#groups.has(id)) this.#groups.set(id, this.#groups.size % groupCount);
     });
+    reporters.forEach(({ counts }, id) => {
+      const server = this.#servers.get(id) ?? new Window();
+      this.#servers.set(id, server);
+      server.add(count(counts), 1);
+    });
     this.all.observe(dataCentres);
     this.#withoutGroup.forEach((test, group) => {
       const rest = new Map(dataCentres);
@@ -80,7 +108,7 @@
   }
 
   beginStage(): void {
-    this.all.beginStage();
+    [this.all, ...this.#withoutGroup].forEach((test) => test.beginStage());
   }
 
   /** Drops what was gathered without calls of the old version. */
@@ -88,6 +116,16 @@
     [this.all, ...this.#withoutGroup].forEach(({ limited }) => limited.reset());
   }
 
+  #faultyGroup(logThreshold: number): number | undefined {
+    if (this.#groups.size < serversMin || this.all.compared.logWealth < logThreshold) {
+      return undefined;
+    }
+    const groups = [...this.#groups.values()];
+    const found = this.#deciding().findIndex(({ compared }) => compared.logWealth <= 0);
+    const isMinority = groups.filter((group) => group === found).length * 2 < groups.length;
+    return found >= 0 && isMinority ? found : undefined;
+  }
+
   /** A single backend server cannot be told from its version. */
   #deciding(): readonly KindTest[] {
     if (this.#groups.size < 2) return [this.all];
--- a/packages/rollout/src/sequential-version-test.ts
+++ b/packages/rollout/src/sequential-version-test.ts
@@ -74,7 +74,11 @@
   }
 
   stageExcess(): number {
-    return this.#allRoutes.kinds[EvidenceKind.Failures].all.stageExcess;
+    return this.#allRoutes.kinds[EvidenceKind.Failures].stageExcess(this.#logThreshold);
+  }
+
+  faultyServers(): ReadonlySet<string> {
+    return this.#allRoutes.kinds[EvidenceKind.Failures].faultyServers(this.#logThreshold);
   }
 
   forgetUncompared(): void {
--- a/packages/rollout/src/stage-gate.ts
+++ b/packages/rollout/src/stage-gate.ts
@@ -47,12 +47,14 @@
   isProven(input: GateInput): boolean;
 }
 
-const countStage = (move: MoveState, filter: BlockFilter): number => {
+const countStage = ({ move, filter, test }: GateInput): number => {
+  const faulty = test.faultyServers();
   let calls = 0;
   for (const row of move.evidence.rows()) {
     const isFresh = row.side === VersionSide.New && row.stage === move.provenStage;
     const isEnded = row.source === EvidenceSource.Ended;
-    if (isFresh && isEnded && filter.isDataCentreCounted(row.dataCentre)) calls += row.calls;
+    const isCounted = filter.isDataCentreCounted(row.dataCentre) && !faulty.has(row.reporterId);
+    if (isFresh && isEnded && isCounted) calls += row.calls;
   }
   return calls;
 };
@@ -79,7 +81,7 @@
     const durationMs = intent.finishByUnixMs - intent.startAtUnixMs;
     const dwellMs = Math.max(dwellMinMs, durationMs * dwellFraction);
     if (nowMs - stageSinceMs < dwellMs) return false;
-    const calls = countStage(move, input.filter);
+    const calls = countStage(input);
     const excess = test.stageExcess();
     const isFloorEnough = isSlotOver(intent, provenStage, nowUnixMs);
     const floor = callsFloor[provenStage] ?? 0;
--- a/packages/rollout/src/version-test.ts
+++ b/packages/rollout/src/version-test.ts
@@ -26,8 +26,13 @@
   logSuspicion(): number;
   /** Starts to count `stageExcess` anew. */
   beginStage(): void;
-  /** Failures of the new version at this stage beyond what the old version's rate explains. */
+  /**
+   * Failures of the new version at this stage beyond what the old version's rate explains, without
+   * those of faulty backend servers.
+   */
   stageExcess(): number;
+  /** Backend servers whose failures are their own fault rather than that of the version. */
+  faultyServers(): ReadonlySet<string>;
   /** Drops what was gathered without old-version traffic, after a general outage was recognised. */
   forgetUncompared(): void;
 }
