Enforce the share of a new version at the receiving node

Cause: the cap of an unproven version rested on the callers.

Change: each node beside the service's backend servers adds the calls that arrived and those refused over the share to its evidence message. The judges, which hear from all nodes, sum them over four seconds and take turns in sending the totals to the nodes beside the new version. Refused calls count as offered, so that the refusals do not feed back. Nothing is refused without totals of the last 3.5 s, or when more than a quarter of the nodes beside the old version (at least one) are not heard. Admission draws one random number per call: a new one each tick refused waiting calls more often. A refused call goes to the old version of the move; it went to the stable version of the configuration, which has no backend server where an earlier move is done but not written down.

Ruled out: evidence rows as counts, since they miss hung calls, arrive in turn and so lag unequally; a message of its own to each judge, 3 KB/s at a judge; counts by caller, which need totals per caller.

Conclusion: the cap holds against callers that exceed it together. One caller among many is not singled out; its excess is refused once it lifts the total share over the tolerance.

--- a/packages/admission/src/create-admission.ts
+++ b/packages/admission/src/create-admission.ts
@@ -21,7 +21,7 @@
   /** The announced backend server, or undefined while there is none. */
   readonly ownServer: () => OwnServer | undefined;
   readonly random: RandomSource;
-  /** Share that this node's version got lately; without it only the start of a move is guarded. */
+  /** Share that callers send to this node's version; without it only the start of a move is guarded. */
   readonly observation?: ShareObservation;
   readonly logger?: Logger;
   /** Replaces single mechanisms, for baselines and for tests that show what each one prevents. */
@@ -44,15 +44,15 @@
  * });
  */
 export const createAdmission = (options: AdmissionOptions): AdmissionParts => {
-  const { dataCentre, incarnation, snapshot, rollout, ownServer, random } = options;
+  const { dataCentre, incarnation, snapshot, rollout, ownServer, random, observation } = options;
   const admission = new SlotAdmission(
-    { dataCentre, incarnation, snapshot, ownServer, random },
+    { dataCentre, incarnation, snapshot, ownServer, random, observation },
     {
       limiter: new AdaptiveSlotLimiter(options.selfId, options.logger ?? new SilentLogger()),
       estimate: new MeasuredServiceTime(),
       seen: new BucketedSeenAttempts(),
       queue: new PriorityQueue(),
-      guard: new RolloutVersionGuard(rollout, snapshot, options.observation),
+      guard: new RolloutVersionGuard(rollout, snapshot, observation),
       refusesWhenOut: true,
       ...options.mechanisms,
     },
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,6 +3,7 @@
 export * from './create-admission.js';
 export type { OwnServer } from './own-server.js';
 export { PriorityQueue } from './priority-queue.js';
+export { RolloutVersionGuard } from './rollout-version-guard.js';
 export type { SeenAttempts } from './seen-attempts.js';
 export { MeasuredServiceTime, type ServiceTimeEstimate } from './service-time-estimate.js';
 export type { QueuedCall } from './slot-admission.js';
--- a/packages/admission/src/slot-admission.ts
+++ b/packages/admission/src/slot-admission.ts
@@ -8,6 +8,7 @@
   type CallOpen,
   type CallRefusal,
   type LoadReport,
+  type ShareObservation,
   type SnapshotView,
 } from '@sequoiafield/types';
 import type { AdmissionMechanisms } from './admission-mechanisms.js';
@@ -21,6 +22,8 @@
 /** Call in the queue with the way to answer it. */
 export interface QueuedCall extends WaitingCall {
   readonly open: CallOpen;
+  /** Drawn once per call; a new one at each look would refuse waiting calls more often. */
+  readonly roll: number;
   settle(result: AdmissionResult): void;
 }
 
@@ -31,6 +34,8 @@
   readonly snapshot: SnapshotView;
   readonly ownServer: () => OwnServer | undefined;
   readonly random: RandomSource;
+  /** Told of each call that arrives, and of those that are refused over the share. */
+  readonly observation: ShareObservation | undefined;
 }
 
 /**
@@ -65,15 +70,17 @@
     if (!this.mechanisms.seen.add(open.attempt, deadlineAtMs)) {
       return this.#refuse(RefusalReason.DuplicateAttempt, RefusalOutcome.Unknown);
     }
+    this.sources.observation?.recordOffered(open.service, open.backendVersion);
     this.#noteServerStart();
+    const roll = this.sources.random.next();
     const reason =
-      this.#reasonByState(open) ??
+      this.#reasonByState(open, roll) ??
       (signal.aborted ? RefusalReason.Cancelled : this.#reasonByDeadline(open, deadlineAtMs));
     if (reason !== undefined) return this.#refuse(reason);
     if (this.#running < this.#slotsNow() && this.mechanisms.queue.size === 0) {
       return this.#permit(open);
     }
-    return this.#enqueue(open, deadlineAtMs, signal);
+    return this.#enqueue(open, roll, deadlineAtMs, signal);
   }
 
   /** Evaluates the slots, refuses waiting calls that lost their chance and starts others. */
@@ -109,8 +116,8 @@
     this.mechanisms.limiter.restart();
   }
 
-  #reasonByState(open: CallOpen): RefusalReason | undefined {
-    const { snapshot, dataCentre, incarnation, random } = this.sources;
+  #reasonByState(open: CallOpen, roll: number): RefusalReason | undefined {
+    const { snapshot, dataCentre, incarnation } = this.sources;
     const current = snapshot.current();
     if (!current) return RefusalReason.NotReady;
     if (!snapshot.isServing()) return RefusalReason.StaleView;
@@ -125,7 +132,7 @@
     if (intent?.state !== DataCentreState.In && this.mechanisms.refusesWhenOut) {
       return RefusalReason.DataCentreOut;
     }
-    return this.mechanisms.guard.reasonToRefuse(open.service, open.backendVersion, random.next());
+    return this.mechanisms.guard.reasonToRefuse(open.service, open.backendVersion, roll);
   }
 
   #reasonByDeadline(open: CallOpen, deadlineAtMs: number): RefusalReason | undefined {
@@ -147,15 +154,21 @@
     if (leftMs < this.mechanisms.estimate.expectedMs(call.route)) {
       return RefusalReason.DeadlineHopeless;
     }
-    return this.#reasonByState(call.open);
+    return this.#reasonByState(call.open, call.roll);
   }
 
-  #enqueue(open: CallOpen, deadlineAtMs: number, signal: AbortSignal): Promise<AdmissionResult> {
+  #enqueue(
+    open: CallOpen,
+    roll: number,
+    deadlineAtMs: number,
+    signal: AbortSignal,
+  ): Promise<AdmissionResult> {
     const { queue } = this.mechanisms;
     return new Promise((resolve) => {
       const cancellation = new AbortController();
       const call: QueuedCall = {
         open,
+        roll,
         priority: open.priority,
         route: open.route,
         isIdempotent: open.isIdempotent,
@@ -210,6 +223,10 @@
     reason: RefusalReason,
     outcome: RefusalOutcome = RefusalOutcome.NotRun,
   ): { readonly kind: 'refusal'; readonly refusal: CallRefusal } {
+    const server = this.sources.ownServer();
+    if (reason === RefusalReason.VersionOverShare && server) {
+      this.sources.observation?.recordOverShare(server.service, server.backendVersion);
+    }
     const { runningCalls, queuedCalls, slotsNow } = this.load();
     const detail = `${runningCalls} of ${slotsNow} slots in use, ${queuedCalls} waiting`;
     return { kind: 'refusal', refusal: { outcome, reason, detail, load: this.load() } };
--- a/packages/calls/src/call-run.ts
+++ b/packages/calls/src/call-run.ts
@@ -30,6 +30,8 @@
 }
 
 const statusServerError = 500;
+/** Above every share, so that it chooses the old version of a move even at 100 %. */
+const rollOfOldVersion = 1;
 
 /** Attempts of one call, one after the other, until one answers or no other may follow. */
 export class CallRun {
@@ -79,11 +81,16 @@
   }
 
   #chooseVersion(): string {
+    const { rollout, random } = this.options;
     const { service } = this.call.match;
-    const version = this.options.rollout.chooseVersion(service.name, this.options.random.next());
-    // A version that refused this call once is not asked a second time.
-    if (version === undefined || this.#refusedVersions.has(version)) return service.stableVersion;
-    return version;
+    const version = rollout.chooseVersion(service.name, random.next());
+    if (version === undefined) return service.stableVersion;
+    // A version that refused this call once is not asked a second time. The old version of the move
+    // is not the stable one of the configuration where an earlier move is done but not written down.
+    if (!this.#refusedVersions.has(version)) return version;
+    const oldVersion = rollout.chooseVersion(service.name, rollOfOldVersion);
+    const isOldLeft = oldVersion !== undefined && !this.#refusedVersions.has(oldVersion);
+    return isOldLeft ? oldVersion : service.stableVersion;
   }
 
   async #attempt(): Promise<CallResult> {
--- a/packages/calls/src/refusals.test.ts
+++ b/packages/calls/src/refusals.test.ts
@@ -122,3 +122,17 @@
   const seen = await callOnce(t, { path: '/drop' }, 'POST', { retryPolicy });
   assert.equal(seen.runs, 3);
 });
+
+test('a call refused over the share goes to the old version of the move', async (t) => {
+  // Guards against a fallback to the configuration's stable version where the move starts from
+  // another one: the call would find no backend server. Here v1 is refused and v0 is the old one.
+  const refusal = notRun(RefusalReason.VersionOverShare, 'over the share');
+  const far = await new RigNode('b', { admit: () => refusal }).start();
+  const near = await new RigNode('a', {
+    chooseVersion: (roll) => (roll < 1 ? 'v1' : 'v0'),
+  }).start();
+  t.after(() => Promise.all([near.stop(), far.stop()]));
+  near.setMembers([far.row]);
+  await fetch(`${near.url}/lookup`);
+  assert.deepEqual(near.versions.slice(0, 2), ['v1', 'v0']);
+});
--- a/packages/calls/src/test-support/rig.ts
+++ b/packages/calls/src/test-support/rig.ts
@@ -75,6 +75,7 @@
   /** Refusal of the admission, or undefined to admit. */
   readonly admit?: () => CallRefusal | undefined;
   readonly isAllowed?: () => boolean;
+  readonly chooseVersion?: (roll: number) => string;
   readonly service?: string;
 }
 
@@ -84,6 +85,9 @@
 
   readonly evidence: CallEvidence[] = [];
 
+  /** Versions that the router was asked for. */
+  readonly versions: string[] = [];
+
   unanswered = 0;
 
   released = 0;
@@ -136,7 +140,7 @@
       },
     };
     const rollout = {
-      chooseVersion: () => 'v1',
+      chooseVersion: (_service: string, roll: number) => options.chooseVersion?.(roll) ?? 'v1',
       isAllowed: options.isAllowed ?? (() => true),
       statuses: () => [],
     };
@@ -175,8 +179,10 @@
       router: {
         match: (method, path) =>
           path.startsWith('/none') ? undefined : { route: routeOf(method !== 'POST'), service },
-        choose: (_service, _version, tried) =>
-          this.#members.find((member) => !tried.has(member.id)) ?? this.#members[0],
+        choose: (_service, version, tried) => {
+          this.versions.push(version);
+          return this.#members.find((member) => !tried.has(member.id)) ?? this.#members[0];
+        },
         begin: () => undefined,
         report: (report) => {
           this.reports.push(report);
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -165,6 +165,7 @@
     incarnation: self.incarnation,
     snapshot: distribution.view,
     rollout: rollout.view,
+    observation: rollout.observation,
     ownServer: () => backendWatch.current(),
     random,
     logger,
--- a/packages/rollout/src/create-rollout.ts
+++ b/packages/rollout/src/create-rollout.ts
@@ -6,6 +6,7 @@
   MemberView,
   RegisterGossip,
   RolloutView,
+  ShareObservation,
   SnapshotView,
 } from '@sequoiafield/types';
 import { EvidenceExchange } from './evidence-exchange.js';
@@ -19,6 +20,7 @@
 import { hash32 } from './rendezvous.js';
 import { BookView } from './rollout-view.js';
 import { SequentialVersionTest } from './sequential-version-test.js';
+import { ShareObserver } from './share-observer.js';
 import { ShareSystem } from './share-system.js';
 import { PlannedSharePolicy, type SharePolicy } from './shares.js';
 import { EvidenceStageGate, type StageGate } from './stage-gate.js';
@@ -54,6 +56,7 @@
 export interface Rollout {
   readonly view: RolloutView;
   readonly recorder: EvidenceRecorder;
+  readonly observation: ShareObservation;
   /** In the order in which the tick loop must run them. */
   readonly systems: readonly System[];
 }
@@ -88,10 +91,11 @@
   const judge = new JudgeSystem(
     ...([selfId, snapshot, members, book, registers, exchange, check, judgeParts, logger] as const),
   );
-  const systems: System[] = [new ShareSystem(book), exchange, judge];
+  const observer = new ShareObserver(selfId, members, messenger, book, exchange);
+  const systems: System[] = [new ShareSystem(book), exchange, observer, judge];
   if (options.verdictStore) {
     const { verdictStore } = options;
     systems.push(new VerdictWriter(selfId, members, book, registers, verdictStore, random));
   }
-  return { view: new BookView(book, nowUnixMs), recorder, systems };
+  return { view: new BookView(book, nowUnixMs), recorder, observation: observer, systems };
 };
--- a/packages/rollout/src/evidence-exchange.ts
+++ b/packages/rollout/src/evidence-exchange.ts
@@ -45,6 +45,8 @@
 
   #turn = 0;
 
+  #shareReport: () => unknown = () => undefined;
+
   readonly #heardAtMs = new Map<string, Map<string, number>>();
 
   constructor(
@@ -77,6 +79,11 @@
     }
   }
 
+  /** Adds this node's share counts to its messages, which costs no datagram of their own. */
+  attachShareReport(shareReport: () => unknown): void {
+    this.#shareReport = shareReport;
+  }
+
   /** When a node beside the service's backend servers was last heard on a move. */
   heardAtMs(move: MoveState, memberId: string): number | undefined {
     return this.#heardAtMs.get(move.intent.id)?.get(memberId);
@@ -109,7 +116,8 @@
     const other = others[this.random.below(others.length)];
     const receivers = [...judges, ...(other ? [other.id] : [])].filter((id) => id !== this.selfId);
     const ownRows = this.#freshFirst(this.#ownRows(move));
-    this.#send(receivers, DirectMessageKind.Evidence, move, ownRows, messageBytes);
+    const share = this.#shareReport();
+    this.#send(receivers, DirectMessageKind.Evidence, move, ownRows, messageBytes, share);
     if (!judges.includes(this.selfId)) return;
     const receiver = receivers[this.random.below(receivers.length)];
     if (receiver === undefined) return;
@@ -150,9 +158,11 @@
     move: MoveState,
     rows: readonly EvidenceRow[],
     messageBytes: number,
+    share?: unknown,
   ): void {
     const { id, toVersion } = move.intent;
-    const message = encodeEvidence(id, toVersion, rows, messageBytes);
+    const evidence = encodeEvidence(id, toVersion, rows, messageBytes);
+    const message = share === undefined ? evidence : { ...evidence, share };
     memberIds.forEach((memberId) => this.messenger.send(memberId, kind, message));
   }
 
--- a/packages/rollout/src/fakes/fake-node.ts
+++ b/packages/rollout/src/fakes/fake-node.ts
@@ -10,6 +10,7 @@
   RegisterKind,
   RolloutView,
   EvidenceRecorder,
+  ShareObservation,
 } from '@sequoiafield/types';
 import { createRollout, type RolloutParts } from '../create-rollout.js';
 import { hash32 } from '../rendezvous.js';
@@ -37,6 +38,8 @@
 
   readonly recorder: EvidenceRecorder;
 
+  readonly observation: ShareObservation;
+
   readonly systems: readonly System[];
 
   isPaused = false;
@@ -76,6 +79,7 @@
     });
     this.view = rollout.view;
     this.recorder = rollout.recorder;
+    this.observation = rollout.observation;
     this.systems = rollout.systems;
   }
 
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -25,7 +25,7 @@
 
 /** Read access to the moves, for callers and receiving nodes. */
 export interface RolloutView {
-  /** Backend version of one new call; `roll` is uniform in [0, 1). */
+  /** Backend version of one new call; `roll` is uniform in [0, 1), and 1 gives the old version. */
   chooseVersion(service: string, roll: number): string | undefined;
   /** Whether a version may get new work at all now. */
   isAllowed(service: string, backendVersion: string): boolean;
@@ -100,8 +100,20 @@
   load(): LoadReport;
 }
 
-/** Share of a service's calls that a backend version got lately, where this node knows it. */
+/** Calls of a service over the last few seconds, as all nodes beside its backend servers saw them. */
+export interface ObservedShare {
+  /** Calls that callers sent to the new version, those refused over the share included. */
+  readonly offeredCalls: number;
+  /** Calls to the old and the new version; a call refused over the share counts where it went next. */
+  readonly allCalls: number;
+}
+
+/** Share of a service's calls that callers send to a new backend version, where this node knows it. */
 export interface ShareObservation {
-  /** 0 to 100, or undefined without enough recent counts. */
-  observedSharePercent(service: string, backendVersion: string): number | undefined;
+  /** Recent counts of all nodes, or undefined without them. */
+  observedShare(service: string, backendVersion: string): ObservedShare | undefined;
+  /** Counts a call that arrived at the backend server beside this node. */
+  recordOffered(service: string, backendVersion: string): void;
+  /** Counts a call that arrived and was refused over the share. */
+  recordOverShare(service: string, backendVersion: string): void;
 }
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -71,6 +71,7 @@
 export enum DirectMessageKind {
   Evidence = 1,
   CallerEvidence = 2,
+  ShareTotals = 3,
 }
 
 /** Kinds of request and answer exchanges over a link, apart from calls. */
