--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -168,6 +168,7 @@
     incarnation: self.incarnation,
     snapshot: distribution.view,
     rollout: rollout.view,
+    observation: rollout.observation,
     ownServer: () => backendWatch.current(),
     random,
     logger,
