--- a/packages/rollout/src/create-rollout.ts
+++ b/packages/rollout/src/create-rollout.ts
@@ -12,7 +12,7 @@
 import { MaximumMerge, type EvidenceMerge } from './evidence-merge.js';
 import { JudgeSystem } from './judge-system.js';
 import { MoveBook } from './move-book.js';
-import { OutageCheck } from './outage-check.js';
+import { OutageCheck, type OutageChecker } from './outage-check.js';
 import { OwnHealth } from './own-health.js';
 import { MoveEvidenceRecorder } from './recorder.js';
 import { MoveRegisters } from './registers.js';
@@ -31,6 +31,7 @@
   readonly evidenceMerge: EvidenceMerge;
   readonly createTest: VersionTestFactory;
   readonly stageGate: StageGate;
+  readonly outageCheck: OutageChecker;
 }
 
 /** What a rollout needs. */
@@ -78,7 +79,7 @@
   const health = new OwnHealth();
   const recorder = new MoveEvidenceRecorder(selfId, members, book, health, nowUnixMs);
   const exchange = new EvidenceExchange(selfId, members, messenger, book, random);
-  const check = new OutageCheck(members, messenger, random, health);
+  const check = parts?.outageCheck ?? new OutageCheck(members, messenger, random, health);
   const judgeParts = {
     gate: parts?.stageGate ?? new EvidenceStageGate(),
     createTest:
--- a/packages/rollout/src/judge-system.ts
+++ b/packages/rollout/src/judge-system.ts
@@ -11,7 +11,7 @@
 import { judgeCount, type EvidenceExchange } from './evidence-exchange.js';
 import type { MoveBook } from './move-book.js';
 import { MovePhase, type MoveState } from './move-state.js';
-import { OutageResult, type OutageCheck } from './outage-check.js';
+import { OutageResult, type OutageChecker } from './outage-check.js';
 import type { MoveRegisters } from './registers.js';
 import { chooseMembers, isLive } from './rendezvous.js';
 import type { StageGate } from './stage-gate.js';
@@ -61,7 +61,7 @@
     private readonly book: MoveBook,
     private readonly registers: MoveRegisters,
     private readonly exchange: EvidenceExchange,
-    private readonly outageCheck: OutageCheck,
+    private readonly outageCheck: OutageChecker,
     private readonly parts: JudgeParts,
     private readonly logger: Logger,
   ) {}
--- a/packages/rollout/src/outage-check.ts
+++ b/packages/rollout/src/outage-check.ts
@@ -39,6 +39,12 @@
   readonly healthOf: string;
 }
 
+/** Tells a general outage from a bad version; replaced in tests. */
+export interface OutageChecker {
+  /** Starts or goes on with a check, or returns its result; called each second until then. */
+  ask(moveId: string, service: string, nowMs: number): OutageResult;
+}
+
 /**
  * Asks nodes beside other services' backend servers whether these fail more than usual. Used before
  * a version is blamed without traffic of the old version to compare with.
@@ -46,7 +52,7 @@
  * @example
  * if (check.ask('settlement-v2', 'settlement', nowMs) === OutageResult.Local) takeBack();
  */
-export class OutageCheck {
+export class OutageCheck implements OutageChecker {
   readonly #running = new Map<string, RunningCheck>();
 
   constructor(
@@ -58,7 +64,6 @@
     messenger.subscribe(DirectMessageKind.Evidence, (body, fromId) => this.#receive(body, fromId));
   }
 
-  /** Starts or goes on with a check, or returns its result; called each second until then. */
   ask(moveId: string, service: string, nowMs: number): OutageResult {
     const running = this.#running.get(moveId);
     const isStale = running && nowMs - running.startedAtMs > staleAfterMs;
--- a/packages/rollout/src/verdict-writer.test.ts
+++ b/packages/rollout/src/verdict-writer.test.ts
@@ -49,7 +49,7 @@
   }
 };
 
-const createMesh = (store: VerdictStore): FakeMesh => {
+const createMesh = (store?: VerdictStore): FakeMesh => {
   const mesh = new FakeMesh(3, startUnixMs);
   mesh.snapshot = fakeSnapshot({ moves: [fakeMove(startUnixMs)] });
   for (let index = 0; index < 12; index += 1) {
@@ -100,3 +100,20 @@
   assert.equal(status?.verdict, MoveVerdict.TakenBack);
   assert.equal(store.kept.verdict, MoveVerdict.TakenBack);
 });
+
+test('a take-back outlives a restart of the whole fleet', async () => {
+  // Guards against a bad version that gets traffic again after a restart. Nodes without a writer are
+  // the mechanism switched off: the verdict is lost with the last process that knew it.
+  const verdictsAfterRestart = async (store?: VerdictStore): Promise<MoveVerdict[]> => {
+    const mesh = createMesh(store);
+    mesh.node('dc-1-0').publish(verdictEntry(verdictOf(MoveVerdict.TakenBack)));
+    await advance(mesh, 30);
+    mesh.nodes().forEach(({ id }) => mesh.restart(id));
+    await advance(mesh, 5);
+    const verdicts = mesh.nodes().map(({ view }) => view.statuses()[0]?.verdict);
+    mesh.close();
+    return [...new Set(verdicts)].filter((verdict) => verdict !== undefined);
+  };
+  assert.deepEqual(await verdictsAfterRestart(new FakeStore()), [MoveVerdict.TakenBack]);
+  assert.deepEqual(await verdictsAfterRestart(), [MoveVerdict.Undecided]);
+});
