--- a/packages/rollout/src/evidence-merge.ts
+++ b/packages/rollout/src/evidence-merge.ts
@@ -6,24 +6,27 @@
   merge(row: EvidenceRow, received: EvidenceRow): boolean;
 }
 
+const counters = ['calls', 'failures', 'overLimit'] as const;
+
 /** Takes the maximum of each counter, so that duplicated and reordered messages change nothing. */
 export class MaximumMerge implements EvidenceMerge {
-  merge(row: EvidenceRow, received: EvidenceRow): boolean {
+  merge(target: EvidenceRow, received: EvidenceRow): boolean {
+    const row = target;
     let isChanged = false;
-    const raise = (own: number, other: number): number => {
-      if (!(other > own)) return own;
-      isChanged = true;
-      return other;
-    };
-    Object.assign(row, {
-      calls: raise(row.calls, received.calls),
-      failures: raise(row.failures, received.failures),
-      overLimit: raise(row.overLimit, received.overLimit),
-    });
+    for (const counter of counters) {
+      if (received[counter] > row[counter]) {
+        row[counter] = received[counter];
+        isChanged = true;
+      }
+    }
     const { buckets } = row;
-    received.buckets.slice(0, buckets.length).forEach((count, bucket) => {
-      buckets[bucket] = raise(buckets[bucket] ?? 0, count);
-    });
+    for (let bucket = 0; bucket < buckets.length; bucket += 1) {
+      const count = received.buckets[bucket] ?? 0;
+      if (count > (buckets[bucket] ?? 0)) {
+        buckets[bucket] = count;
+        isChanged = true;
+      }
+    }
     return isChanged;
   }
 }
--- a/packages/rollout/src/evidence-table.ts
+++ b/packages/rollout/src/evidence-table.ts
@@ -31,8 +31,7 @@
   }
 
   /** Row of a key, created with counters at 0. */
-  row(key: EvidenceKey): EvidenceRow {
-    const id = evidenceRowId(key);
+  row(key: EvidenceKey, id = evidenceRowId(key)): EvidenceRow {
     const known = this.#table.get(id);
     if (known) return known;
     const row = emptyEvidenceRow(key);
@@ -44,7 +43,7 @@
   merge(received: EvidenceRow, nowMs: number): boolean {
     const id = evidenceRowId(received);
     if (!this.#table.has(id) && this.#table.size >= maxRows) return false;
-    const row = this.row(received);
+    const row = this.row(received, id);
     const isChanged = this.merging.merge(row, received);
     if (isChanged) row.changedAtMs = nowMs;
     return isChanged;
