--- a/packages/admission/src/slot-admission.ts
+++ b/packages/admission/src/slot-admission.ts
@@ -7,6 +7,7 @@
   type AdmissionResult,
   type CallOpen,
   type CallRefusal,
+  type CancelSignal,
   type LoadReport,
   type ShareObservation,
   type SnapshotView,
@@ -69,7 +70,11 @@
     };
   }
 
-  async admit(open: CallOpen, deadlineAtMs: number, signal: AbortSignal): Promise<AdmissionResult> {
+  async admit(
+    open: CallOpen,
+    deadlineAtMs: number,
+    signal: CancelSignal,
+  ): Promise<AdmissionResult> {
     if (!this.mechanisms.seen.add(open.attempt, deadlineAtMs)) {
       return this.#refuse(RefusalReason.DuplicateAttempt, RefusalOutcome.Unknown);
     }
@@ -164,11 +169,11 @@
     open: CallOpen,
     roll: number,
     deadlineAtMs: number,
-    signal: AbortSignal,
+    signal: CancelSignal,
   ): Promise<AdmissionResult> {
     const { queue } = this.mechanisms;
     return new Promise((resolve) => {
-      const cancellation = new AbortController();
+      let stopListening = (): void => undefined;
       const call: QueuedCall = {
         open,
         roll,
@@ -177,7 +182,7 @@
         isIdempotent: open.isIdempotent,
         deadlineAtMs,
         settle: (result) => {
-          cancellation.abort();
+          stopListening();
           resolve(result);
         },
       };
@@ -185,7 +190,8 @@
         queue.remove(call);
         call.settle(this.#refuse(RefusalReason.Cancelled));
       };
-      signal.addEventListener('abort', onAbort, { once: true, signal: cancellation.signal });
+      stopListening = () => signal.removeEventListener('abort', onAbort);
+      signal.addEventListener('abort', onAbort);
       const sizeMax = Math.max(queueMin, queuedPerSlot * this.#slotsNow());
       const dropped = queue.push(call, sizeMax);
       dropped?.settle(this.#refuse(RefusalReason.QueueFull));
