Make a process known whose clock is behind that of its former life

Cause: the incarnation is the start time of the process and the higher one wins. A process on a new machine with a slower clock was ignored: its rows lost, and acks went to the address of its former life. Receivers also refused its attempts as those of an older incarnation.

Change: rows carry an announced incarnation, which orders the lives. It is the start time until the process hears of a former life with an equal or higher one, and then one above that. A node that ignores a row of its sender tells it so at the address in the row. Raising stops after 8 times, since two running processes with one id would outrank each other for ever. On the wire the raise is left out where it is 0. Links, attempt ids and the receiver incarnation of a call go on naming the start time, which differs between the lives. Receivers remember the attempts of each life on their own until their deadline, where they refused every lower incarnation before.

Ruled out: raising the incarnation that calls name, since attempts in flight would be refused as "not run" after they ran, and every link would have to be replaced. Two lives that start in the same millisecond are still not told apart.

Conclusion: done in process; not run with real processes.

--- a/packages/bench/src/node-cost/fleet-generator.ts
+++ b/packages/bench/src/node-cost/fleet-generator.ts
@@ -138,10 +138,12 @@
 
   #addRow(index: number, gossipPort: number, linkPort: number): void {
     const dataCentre = index % dataCentres;
+    // Old enough not to look like a mass restart.
+    const incarnation = Date.now() - dayMs + index;
     const row: GossipRow = {
       id: `member-${String(index).padStart(5, '0')}`,
-      // Old enough not to look like a mass restart.
-      incarnation: Date.now() - dayMs + index,
+      incarnation,
+      announcedIncarnation: incarnation,
       refutation: 0,
       state: MemberState.Alive,
       configVersion: 0,
@@ -172,7 +174,8 @@
     const row = this.#anyRow();
     const observers = [this.#anyRow().id, this.#anyRow().id];
     this.#spread(encodeState({ ...row, state: MemberState.Suspect, observers }));
-    const restarted = { ...row, incarnation: row.incarnation + 1 };
+    const incarnation = row.incarnation + 1;
+    const restarted = { ...row, incarnation, announcedIncarnation: incarnation };
     const timer = setTimeout(() => {
       this.#rows[this.#rows.indexOf(row)] = restarted;
       this.#byId.set(row.id, restarted);
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -9,7 +9,7 @@
 import { newCounters } from './counters.js';
 import type { DatagramPort } from './datagram-port.js';
 import type { GossipRow } from './gossip-row.js';
-import type { MembersTable } from './members-table.js';
+import type { Belief, MembersTable } from './members-table.js';
 import type { PeerPicker } from './peer-picker.js';
 import type { SpreadPolicy } from './policies.js';
 import { isBehind, missingItems, readSummary, summarize } from './register-summary.js';
@@ -56,6 +56,12 @@
 /** A push that waited longer for the byte budget has meanwhile travelled as a rumour. */
 const pushExpiryMs = 3000;
 
+/**
+ * Raises of the announced incarnation by one process. A former life takes one or two; two running
+ * processes with the same id would outrank each other for ever.
+ */
+const raisesMax = 8;
+
 /** What a gossip object needs of its node. */
 export interface GossipParts {
   readonly members: MembersTable;
@@ -89,6 +95,8 @@
 
   #pending: PendingPush[] = [];
 
+  #raises = 0;
+
   #pushedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly parts: GossipParts) {
@@ -160,16 +168,33 @@
     this.#spread(`register ${entry.kind} ${entry.key}`, encodeRegister(entry), true);
   }
 
-  /** Raises the own refutation counter above what another node believes, and spreads it. */
-  refute(heard: { incarnation: number; refutation: number; state: MemberState }): void {
+  /** Raises own refutation or announced incarnation above what another believes; spreads it. */
+  refute(heard: Belief): void {
     const own = this.ownRow();
+    if (heard.incarnation !== own.incarnation) {
+      this.#outrankFormerLife(heard);
+      return;
+    }
     const isSuspicion = heard.state === MemberState.Suspect || heard.state === MemberState.Dead;
-    if (!isSuspicion || heard.incarnation !== own.incarnation) return;
+    if (!isSuspicion) return;
     if (heard.refutation < own.refutation || own.state === MemberState.Left) return;
     own.refutation = heard.refutation + 1;
     this.spreadState(own, own.state);
   }
 
+  /**
+   * The clock of an earlier process with this id was ahead, so that the others ignore this one. Only
+   * the announcement is raised; calls go on naming the start time, which no other life has.
+   */
+  #outrankFormerLife(heard: Belief): void {
+    const own = this.ownRow();
+    if (heard.announcedIncarnation < own.announcedIncarnation) return;
+    if (own.state === MemberState.Left || this.#raises >= raisesMax) return;
+    this.#raises += 1;
+    own.announcedIncarnation = heard.announcedIncarnation + 1;
+    this.spreadRow(own, true);
+  }
+
   #spread(key: string, bytes: Uint8Array, isUrgent: boolean): void {
     this.#queue.put(key, bytes);
     if (!isUrgent || this.parts.policy.pushFanOut === 0) return;
@@ -237,17 +262,19 @@
     const item = decodeItem(bytes);
     if (item.kind === ItemKind.Register) this.parts.registers.raise(item.entry, fromId);
     else if (item.kind === ItemKind.State) this.#applyState(item.rumour);
-    else this.#applyRow(item.row);
+    else this.#applyRow(item.row, fromId);
   }
 
-  #applyRow(row: GossipRow): void {
+  #applyRow(row: GossipRow, fromId: string): void {
     const { members } = this.parts;
     if (row.id === members.selfId) {
       this.refute(row);
       return;
     }
     const wasIncarnation = members.get(row.id)?.incarnation;
-    if (!members.merge(row)) return;
+    const isNews = members.merge(row);
+    if (!isNews && row.id === fromId) this.#tellFormerLife(row);
+    if (!isNews) return;
     const now = members.get(row.id);
     if (!now) return;
     const isNew = wasIncarnation !== now.incarnation;
@@ -256,6 +283,14 @@
       this.spreadState(now, now.state, [], now.refutation > 0 || now.state !== MemberState.Alive);
   }
 
+  /** Answers a process whose row loses against a former life at the address that it gave. */
+  #tellFormerLife(row: GossipRow): void {
+    const belief = this.parts.members.belief(row.id);
+    if (!belief || belief.incarnation === row.incarnation) return;
+    const rumour = { ...belief, id: row.id, observers: [] };
+    this.send(MessageType.Push, row, { items: [encodeState(rumour)] });
+  }
+
   #applyState(rumour: StateRumour): void {
     const { members, suspicions } = this.parts;
     if (rumour.id === members.selfId) {
@@ -263,7 +298,8 @@
       return;
     }
     const known = members.belief(rumour.id);
-    if (!known || known.incarnation < rumour.incarnation) this.parts.onUnknownMember();
+    const isLaterLife = rumour.announcedIncarnation > (known?.announcedIncarnation ?? -1);
+    if (isLaterLife) this.parts.onUnknownMember();
     if (rumour.state !== MemberState.Suspect) {
       const { id, incarnation, refutation, state } = rumour;
       const isNews = members.mergeState(id, incarnation, refutation, state);
--- a/packages/membership/src/members-table.ts
+++ b/packages/membership/src/members-table.ts
@@ -2,7 +2,14 @@
 import { MemberState, type MemberRow, type MemberView } from '@sequoiafield/types';
 import { comparePrecedence, isLiveState, type GossipRow } from './gossip-row.js';
 
+/** What a node believes of a member, apart from where it is. */
+export type Belief = Pick<
+  GossipRow,
+  'announcedIncarnation' | 'incarnation' | 'refutation' | 'state'
+>;
+
 interface Tombstone {
+  readonly announcedIncarnation: number;
   readonly incarnation: number;
   readonly refutation: number;
   readonly configVersion: number;
@@ -65,7 +72,7 @@
   }
 
   /** What this node last believed of an id, for telling that member; undefined if nothing. */
-  belief(id: string): { incarnation: number; refutation: number; state: MemberState } | undefined {
+  belief(id: string): Belief | undefined {
     const row = this.rows.get(id);
     if (row) return row;
     const tombstone = this.#tombstones.get(id);
@@ -106,11 +113,14 @@
     if (heard.configVersion > row.configVersion) row.configVersion = heard.configVersion;
     if (comparePrecedence(heard, known) <= 0) return false;
     const isSameEpoch =
-      heard.incarnation === known.incarnation && heard.refutation === known.refutation;
+      heard.announcedIncarnation === known.announcedIncarnation &&
+      heard.incarnation === known.incarnation &&
+      heard.refutation === known.refutation;
     const isBelief = heard.state === MemberState.Suspect || heard.state === MemberState.Dead;
     if (isSameEpoch && isBelief) return false;
     const state = heard.state === MemberState.Suspect ? MemberState.Alive : heard.state;
-    if (heard.incarnation > known.incarnation) {
+    const isSameLife = heard.incarnation === known.incarnation;
+    if (!isSameLife || heard.announcedIncarnation > known.announcedIncarnation) {
       this.#remove(known);
       this.#insert({
         ...heard,
@@ -148,6 +158,7 @@
       const retentionMs = row.state === MemberState.Left ? leftRetentionMs : deadRetentionMs;
       if (!isLiveState(row.state) && nowMs - row.stateChangedAtMs > retentionMs) {
         this.#tombstones.set(row.id, {
+          announcedIncarnation: row.announcedIncarnation,
           incarnation: row.incarnation,
           refutation: row.refutation,
           configVersion: row.configVersion,
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -27,7 +27,11 @@
 
 const address = (index: number): string => `10.0.1.${index}`;
 
-const startNode = async (index: number, service = 'rounds'): Promise<Node> => {
+const startNode = async (
+  index: number,
+  service = 'rounds',
+  changes: Partial<MemberAnnouncement> = {},
+): Promise<Node> => {
   const self: MemberAnnouncement = {
     id: `node-${String(index).padStart(3, '0')}`,
     incarnation: Date.now(),
@@ -39,6 +43,7 @@
     dataCentre: `dc-${index % 4}`,
     service,
     backendVersion: 'v1',
+    ...changes,
   };
   const membership = createMembership({
     self,
@@ -106,6 +111,45 @@
   matchSnapshot(import.meta.filename, 'kill and restart', rows);
 });
 
+test('a process whose clock is behind that of its former life becomes known', async () => {
+  // Guards against a member on a new machine with a slower clock that the fleet ignores, and against
+  // calls that name the former life's incarnation: only the announcement may be raised.
+  await startFleet(8);
+  const former = nodes[7] as Node;
+  const others = nodes.slice(0, 7);
+  for (const [turn, secondsDown] of [0, 12].entries()) {
+    kill(nodes[7] as Node);
+    await clock.advance(secondsDown * 1000, 20);
+    const incarnation = former.self.incarnation - 3_600_000 * (turn + 1);
+    const changes = { id: former.self.id, address: address(20 + turn), incarnation };
+    await startNode(8, 'rounds', changes);
+    await clock.advance(10_000, 20);
+    assert.deepEqual(beliefsOf(former.self.id, others), { Alive: 7 });
+    for (const { membership } of others) {
+      const row = membership.view.get(former.self.id);
+      assert.equal(row?.incarnation, incarnation);
+      assert.equal(row.address, changes.address);
+    }
+    assert.equal((nodes[7] as Node).membership.view.fleetSize(), 8);
+  }
+});
+
+test('two running processes with one id do not outrank each other for ever', async () => {
+  // Guards against a wrong setting that fills the fleet's rumours.
+  await startFleet(6);
+  const twin = nodes[5] as Node;
+  await startNode(7, 'rounds', { id: twin.self.id, incarnation: twin.self.incarnation - 1000 });
+  await clock.advance(20_000, 20);
+  const announced = (): (number | undefined)[] =>
+    nodes
+      .slice(0, 5)
+      .map(({ membership }) => membership.view.get(twin.self.id) as GossipRow | undefined)
+      .map((row) => row?.announcedIncarnation);
+  const before = announced();
+  await clock.advance(20_000, 20);
+  assert.deepEqual(announced(), before);
+});
+
 test('a frozen member refutes its death after the thaw with the same incarnation', async () => {
   // Guards against a paused node that stays evicted, or that others take for another process.
   await startFleet(6);
@@ -243,6 +287,7 @@
   // Guards against dead members that gossip revives for ever.
   const row = (id: string, incarnation: number, state: MemberState): GossipRow => ({
     ...{ id, incarnation, state, refutation: 0, configVersion: 9, stateChangedAtMs: 0 },
+    announcedIncarnation: incarnation,
     ...{ address: '', gossipPort: 0, linkPort: 0, callPort: 0 },
     ...{ region: '', dataCentre: '', service: 'rounds', backendVersion: 'v1' },
   });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -107,6 +107,7 @@
     configVersion: 0,
     stateChangedAtMs: 0,
     refutation: 0,
+    announcedIncarnation: options.self.incarnation,
   };
   const members = new MembersTable(self);
   const picker = new PeerPicker(members, random);
--- a/packages/membership/src/properties.test.ts
+++ b/packages/membership/src/properties.test.ts
@@ -17,9 +17,11 @@
   incarnation: number,
   refutation: number,
   state: MemberState,
+  raisedBy = 0,
 ): GossipRow => ({
   id,
   incarnation,
+  announcedIncarnation: incarnation + raisedBy,
   refutation,
   state,
   configVersion: incarnation,
@@ -41,8 +43,9 @@
     fc.integer({ min: 0, max: 2 }),
     // Suspicion and death are each node's own conclusion and depend on what it heard.
     fc.constantFrom(MemberState.Joining, MemberState.Alive, MemberState.Draining, MemberState.Left),
+    fc.integer({ min: 0, max: 2 }),
   )
-  .map(([id, incarnation, refutation, state]) => makeRow(id, incarnation, refutation, state));
+  .map((parts) => makeRow(...parts));
 
 const mergeAll = (rows: readonly GossipRow[]): MembersTable => {
   const table = new MembersTable(makeRow('self', 1, 0, MemberState.Alive));
@@ -52,8 +55,9 @@
 
 const contentOf = (table: MembersTable): unknown =>
   [...table.rows.rows()]
-    .map(({ id, incarnation, refutation, state, configVersion }) => [
+    .map(({ id, announcedIncarnation, incarnation, refutation, state, configVersion }) => [
       id,
+      announcedIncarnation,
       incarnation,
       refutation,
       state,
--- a/packages/membership/src/row-sync.ts
+++ b/packages/membership/src/row-sync.ts
@@ -29,7 +29,10 @@
   state === MemberState.Draining || state === MemberState.Left ? state : MemberState.Alive;
 
 const rowHash = (row: GossipRow): number =>
-  hashText(`${row.id} ${row.incarnation} ${row.refutation} ${digestState(row.state)}`);
+  hashText(
+    `${row.id} ${row.announcedIncarnation} ${row.incarnation} ${row.refutation} ` +
+      `${digestState(row.state)}`,
+  );
 
 const numbersOf = (value: unknown): readonly number[] => {
   if (!Array.isArray(value) || !value.every((item) => Number.isInteger(item))) {
--- a/packages/membership/src/wire.ts
+++ b/packages/membership/src/wire.ts
@@ -31,6 +31,7 @@
 /** A member's state without its addresses; `observers` says who suspects it. */
 export interface StateRumour {
   readonly id: string;
+  readonly announcedIncarnation: number;
   readonly incarnation: number;
   readonly refutation: number;
   readonly state: MemberState;
@@ -72,6 +73,8 @@
   dataCentre: string,
   service: string,
   backendVersion: string,
+  /** Announced incarnation less the incarnation; left out if 0, as for nearly every member. */
+  raisedBy?: number,
 ];
 
 const packr = new Packr({ useRecords: false });
@@ -83,6 +86,10 @@
 const asArray = (value: unknown, length: number, what: string): readonly unknown[] =>
   Array.isArray(value) && value.length === length ? value : fail(what);
 
+/** Like `asArray`, for tuples whose last element may be left out. */
+const asOpenArray = (value: unknown, length: number, what: string): readonly unknown[] =>
+  asArray(value, Array.isArray(value) && value.length === length + 1 ? length + 1 : length, what);
+
 const asText = (value: unknown, what: string): string =>
   typeof value === 'string' && value.length <= 255 ? value : fail(what);
 
@@ -92,6 +99,14 @@
 const asState = (value: unknown): MemberState =>
   typeof value === 'number' && MemberState[value] !== undefined ? value : fail('state');
 
+const encodeRaised = (row: Pick<GossipRow, 'announcedIncarnation' | 'incarnation'>): number[] => {
+  const raisedBy = row.announcedIncarnation - row.incarnation;
+  return raisedBy > 0 ? [raisedBy] : [];
+};
+
+const decodeRaised = (incarnation: unknown, raisedBy: unknown): number =>
+  asCount(incarnation, 'incarnation') + asCount(raisedBy ?? 0, 'raised by');
+
 /** Wire order of a row. */
 export const rowToTuple = (row: GossipRow): RowTuple => [
   row.id,
@@ -107,11 +122,12 @@
   row.dataCentre,
   row.service,
   row.backendVersion,
+  ...(encodeRaised(row) as [number?]),
 ];
 
 /** Checks and converts a row that another node sent; throws `MembershipError`. */
 export const tupleToRow = (value: unknown): GossipRow => {
-  const tuple = asArray(value, 13, 'row');
+  const tuple = asOpenArray(value, 13, 'row');
   return {
     id: asText(tuple[0], 'id'),
     incarnation: asCount(tuple[1], 'incarnation'),
@@ -126,6 +142,7 @@
     dataCentre: asText(tuple[10], 'dataCentre'),
     service: asText(tuple[11], 'service'),
     backendVersion: asText(tuple[12], 'backendVersion'),
+    announcedIncarnation: decodeRaised(tuple[1], tuple[13]),
     stateChangedAtMs: 0,
   };
 };
@@ -148,7 +165,10 @@
 export const encodeState = (rumour: StateRumour): Uint8Array =>
   packr.pack([
     ItemKind.State,
-    [rumour.id, rumour.incarnation, rumour.refutation, rumour.state, rumour.observers],
+    [
+      ...[rumour.id, rumour.incarnation, rumour.refutation, rumour.state, rumour.observers],
+      ...encodeRaised(rumour),
+    ],
   ]);
 
 /**
@@ -161,11 +181,12 @@
   packr.pack([ItemKind.Register, [entry.kind, entry.key, entry.rank, entry.body]]);
 
 const decodeState = (value: unknown): StateRumour => {
-  const tuple = asArray(value, 5, 'state rumour');
+  const tuple = asOpenArray(value, 5, 'state rumour');
   const observers = Array.isArray(tuple[4]) ? tuple[4] : fail('observers');
   return {
     id: asText(tuple[0], 'id'),
     incarnation: asCount(tuple[1], 'incarnation'),
+    announcedIncarnation: decodeRaised(tuple[1], tuple[5]),
     refutation: asCount(tuple[2], 'refutation'),
     state: asState(tuple[3]),
     observers: observers.slice(0, 8).map((observer) => asText(observer, 'observer')),
--- a/packages/transport/src/seen-attempts.ts
+++ b/packages/transport/src/seen-attempts.ts
@@ -4,22 +4,20 @@
 
 const sweepIntervalMs = 1000;
 
-interface SeenSender {
-  incarnation: number;
-  /** When each sequence may be forgotten. */
-  readonly forgetAtMs: Map<number, number>;
-}
+/** When each sequence of one life of a sender may be forgotten. */
+type SeenSequences = Map<number, number>;
 
 /**
  * Lets every attempt start at most once: an id is kept until its deadline plus a margin, and after
- * that the deadline refuses it.
+ * that the deadline refuses it. Each life of a sender has its own ids, so that a process whose clock
+ * is behind that of its former life is heard, and late copies of the former life's attempts are known.
  *
  * @example
  * const guard = new SeenAttempts(selfIncarnation);
  * if (guard.check(attempt, deadlineAtMs, monotonicNowMs()) !== AttemptVerdict.Fresh) refuse();
  */
 export class SeenAttempts implements AttemptGuard {
-  readonly #senders = new Map<string, SeenSender>();
+  readonly #senders = new Map<string, SeenSequences>();
 
   #nextSweepAtMs = 0;
 
@@ -28,7 +26,7 @@
   /** Number of ids kept now. */
   get size(): number {
     let size = 0;
-    for (const sender of this.#senders.values()) size += sender.forgetAtMs.size;
+    for (const sequences of this.#senders.values()) size += sequences.size;
     return size;
   }
 
@@ -36,28 +34,29 @@
     if (attempt.receiverIncarnation !== this.selfIncarnation) {
       return AttemptVerdict.WrongIncarnation;
     }
-    const sender = this.#senderOf(attempt);
-    if (attempt.senderIncarnation < sender.incarnation) return AttemptVerdict.WrongIncarnation;
-    if (sender.forgetAtMs.has(attempt.sequence)) return AttemptVerdict.Duplicate;
+    const sequences = this.#sequencesOf(attempt);
+    if (sequences.has(attempt.sequence)) return AttemptVerdict.Duplicate;
     if (deadlineAtMs <= nowMs) return AttemptVerdict.DeadlinePassed;
     if (deadlineAtMs > nowMs + deadlineMaxMs) return AttemptVerdict.DeadlineTooFar;
-    sender.forgetAtMs.set(attempt.sequence, deadlineAtMs + seenMarginMs);
+    sequences.set(attempt.sequence, deadlineAtMs + seenMarginMs);
     return AttemptVerdict.Fresh;
   }
 
   sweep(nowMs: number): void {
     if (nowMs < this.#nextSweepAtMs) return;
     this.#nextSweepAtMs = nowMs + sweepIntervalMs;
-    for (const { forgetAtMs } of this.#senders.values()) {
-      for (const [sequence, atMs] of forgetAtMs) if (atMs <= nowMs) forgetAtMs.delete(sequence);
+    for (const [sender, sequences] of this.#senders) {
+      for (const [sequence, atMs] of sequences) if (atMs <= nowMs) sequences.delete(sequence);
+      if (sequences.size === 0) this.#senders.delete(sender);
     }
   }
 
-  #senderOf(attempt: AttemptId): SeenSender {
-    const known = this.#senders.get(attempt.senderId);
-    if (known && attempt.senderIncarnation <= known.incarnation) return known;
-    const sender = { incarnation: attempt.senderIncarnation, forgetAtMs: new Map() };
-    this.#senders.set(attempt.senderId, sender);
-    return sender;
+  #sequencesOf({ senderId, senderIncarnation }: AttemptId): SeenSequences {
+    const key = `${senderId}\n${senderIncarnation}`;
+    const known = this.#senders.get(key);
+    if (known) return known;
+    const sequences: SeenSequences = new Map();
+    this.#senders.set(key, sequences);
+    return sequences;
   }
 }
--- a/packages/types/src/members.ts
+++ b/packages/types/src/members.ts
@@ -4,7 +4,7 @@
 export interface MemberAnnouncement {
   /** Instance id from the settings, unique in the fleet. */
   readonly id: string;
-  /** Start time of the process in Unix ms; a restarted node has a higher one. */
+  /** Start time of the process in Unix ms; lower than before if its clock is behind the former one's. */
   readonly incarnation: number;
   readonly address: string;
   readonly gossipPort: number;
