Split createNodeParts into short functions

Cause: createNodeParts built every part of a node in one function of 130 lines.

Change: one function builds each part, createControl builds those that hold what the fleet agrees on, and createNodeParts connects them in 27 lines. Parts that earlier ones call back are gathered in LateParts, also the receiver of calls, which had a slot of its own. Order of creation and of systems is unchanged.

Ruled out: a container for dependencies; the compiler checks the plain functions.

Conclusion: no change in behaviour.

--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -1,4 +1,4 @@
-import { createAdmission } from '@sequoiafield/admission';
+import { createAdmission, type AdmissionParts } from '@sequoiafield/admission';
 import { createBurn, mergeBurn, type Burn } from '@sequoiafield/burn';
 import {
   BackendCallReceiver,
@@ -18,7 +18,7 @@
 import type { Logger } from '@sequoiafield/logger';
 import { createMembership, type Membership } from '@sequoiafield/membership';
 import { createRollout, type Rollout } from '@sequoiafield/rollout';
-import { createRouting } from '@sequoiafield/routing';
+import { createRouting, type Routing } from '@sequoiafield/routing';
 import { ConfigRepository, HttpStore } from '@sequoiafield/store';
 import type { RandomSource, System } from '@sequoiafield/tables';
 import { createTransport, type Transport } from '@sequoiafield/transport';
@@ -27,7 +27,9 @@
   RefusalReason,
   type FleetQuery,
   type CallReceiver,
+  type EvidenceRecorder,
   type MemberAnnouncement,
+  type Router,
   type Seed,
 } from '@sequoiafield/types';
 import type { InForceAnswer } from './admin-interface.js';
@@ -65,63 +67,40 @@
   readonly systems: readonly System[];
 }
 
-const createReceiverSlot = (): CallReceiver & { target?: CallReceiver } => ({
+/** Parts that are built later and that earlier ones call back. */
+interface LateParts {
+  distribution?: Distribution;
+  receiver?: CallReceiver;
+  onPeerDraining?: (memberId: string) => void;
+}
+
+/** The links carry calls for the receiver, which is built from parts that need the links. */
+const lateReceiver = (late: LateParts): CallReceiver => ({
   receive(open, body, signal) {
-    if (!this.target) throw new NodeError('The receiver is used before the node is built');
-    return this.target.receive(open, body, signal);
+    if (!late.receiver) throw new NodeError('The receiver is used before the node is built');
+    return late.receiver.receive(open, body, signal);
   },
 });
 
-const registerFleetQueries = (
-  fleetQuery: FleetQuery,
-  distribution: Distribution,
-  burn: Burn,
-  selfId: string,
-): void => {
-  fleetQuery.register<{ configVersion: number }, InForceAnswer>(FleetQueryKind.InForce, {
-    answer: ({ configVersion }) =>
-      distribution.configVersion() >= configVersion
-        ? { inForce: 1, lagging: [] }
-        : { inForce: 0, lagging: [selfId] },
-    merge: (left, right) => ({
-      inForce: left.inForce + right.inForce,
-      lagging: [...left.lagging, ...right.lagging].slice(0, laggingNamed),
-    }),
-  });
-  fleetQuery.register(FleetQueryKind.BurnWindows, {
-    answer: () => burn.answer(),
-    merge: mergeBurn,
-  });
-};
-
-/**
- * Builds and connects the parts of a node; nothing listens or ticks yet.
- *
- * @example
- * const parts = createNodeParts({ settings, self, random, logger, seeds: () => [] });
- */
-export const createNodeParts = ({
-  settings,
-  self,
-  random,
-  logger,
-  seeds,
-}: NodePartsOptions): NodeParts => {
-  const { backendServer } = settings;
-  const repository = new ConfigRepository(new HttpStore(settings.store));
-  const backendWatch = new BackendWatch(backendServer);
-  // Parts that are built later and that earlier ones call back.
-  const late: { distribution?: Distribution; onPeerDraining?: (id: string) => void } = {};
-  // The links carry calls for the receiver, which is built from parts that need the links.
-  const receiverSlot = createReceiverSlot();
-  const transport = createTransport({
+const createLinks = (
+  { settings, self, logger, random }: NodePartsOptions,
+  late: LateParts,
+): Transport =>
+  createTransport({
     self: { ...self, linkPort: settings.node.linkPort },
-    receiver: receiverSlot,
+    receiver: lateReceiver(late),
     logger,
     random,
     onPeerDraining: ({ id }) => late.onPeerDraining?.(id),
   });
-  const membership = createMembership({
+
+const createMembers = (
+  { settings, self, logger, random }: NodePartsOptions,
+  late: LateParts,
+  transport: Transport,
+  backendWatch: BackendWatch,
+): Membership =>
+  createMembership({
     self,
     logger,
     random,
@@ -131,7 +110,14 @@
     isReady: () =>
       backendWatch.current() !== undefined && late.distribution?.view.isServing() === true,
   });
-  const distribution = createDistribution({
+
+const createConfiguration = (
+  { settings, random, logger, seeds }: NodePartsOptions,
+  transport: Transport,
+  membership: Membership,
+  repository: ConfigRepository,
+): Distribution =>
+  createDistribution({
     members: membership.view,
     registers: membership.registers,
     links: transport.requester,
@@ -148,8 +134,31 @@
       membership.greet(read.filter(({ id }) => membership.view.get(id) === undefined)),
     onInForce: () => membership.announceConfigVersion(),
   });
-  late.distribution = distribution;
-  const rollout = createRollout({
+
+/** Parts that hold what the fleet agrees on: members, configuration in force and links. */
+interface ControlParts {
+  readonly transport: Transport;
+  readonly membership: Membership;
+  readonly distribution: Distribution;
+  readonly repository: ConfigRepository;
+  readonly backendWatch: BackendWatch;
+}
+
+const createControl = (options: NodePartsOptions, late: LateParts): ControlParts => {
+  const { settings } = options;
+  const repository = new ConfigRepository(new HttpStore(settings.store));
+  const backendWatch = new BackendWatch(settings.backendServer);
+  const transport = createLinks(options, late);
+  const membership = createMembers(options, late, transport, backendWatch);
+  const distribution = createConfiguration(options, transport, membership, repository);
+  return { transport, membership, distribution, repository, backendWatch };
+};
+
+const createMoves = (
+  { self, logger, random }: NodePartsOptions,
+  { distribution, membership, repository }: ControlParts,
+): Rollout =>
+  createRollout({
     selfId: self.id,
     snapshot: distribution.view,
     members: membership.view,
@@ -159,7 +168,13 @@
     verdictStore: new RepositoryVerdictStore(repository, self.id),
     random,
   });
-  const admission = createAdmission({
+
+const createOwnAdmission = (
+  { self, logger, random }: NodePartsOptions,
+  { distribution, backendWatch }: ControlParts,
+  rollout: Rollout,
+): AdmissionParts =>
+  createAdmission({
     selfId: self.id,
     dataCentre: self.dataCentre,
     incarnation: self.incarnation,
@@ -170,7 +185,14 @@
     random,
     logger,
   });
-  const routing = createRouting({
+
+const createChoice = (
+  { self, random }: NodePartsOptions,
+  { distribution, membership }: ControlParts,
+  rollout: Rollout,
+  admission: AdmissionParts,
+): Routing =>
+  createRouting({
     selfId: self.id,
     dataCentre: self.dataCentre,
     region: self.region,
@@ -180,59 +202,86 @@
     random,
     ownLoad: () => admission.admission.load(),
   });
-  // A drain that a link told is known before gossip brings it.
-  late.onPeerDraining = (memberId) =>
-    routing.router.report({
-      memberId,
-      service: membership.view.get(memberId)?.service ?? '',
-      hasFailed: false,
-      latencyMs: 0,
-      refusalReason: RefusalReason.Draining,
-    });
-  const burn = createBurn({ snapshot: distribution.view });
-  const evidence = new BurnRecorder(rollout.recorder, burn);
-  const receiver = new BackendCallReceiver({
+
+const createReceiver = (
+  { settings, self }: NodePartsOptions,
+  rollout: Rollout,
+  admission: AdmissionParts,
+  evidence: EvidenceRecorder,
+): BackendCallReceiver =>
+  new BackendCallReceiver({
     self,
     rollout: rollout.view,
     admission: admission.admission,
     evidence,
     backend: new UndiciBackendClient({
-      origin: `http://${backendServer.address}:${backendServer.port}`,
+      origin: `http://${settings.backendServer.address}:${settings.backendServer.port}`,
       connectionsMax: backendConnectionsMax,
     }),
   });
-  receiverSlot.target = receiver;
+
+/** Reports a drain that a link told to the router, before gossip brings it. */
+const reportDraining = (membership: Membership, router: Router, memberId: string): void =>
+  router.report({
+    memberId,
+    service: membership.view.get(memberId)?.service ?? '',
+    hasFailed: false,
+    latencyMs: 0,
+    refusalReason: RefusalReason.Draining,
+  });
+
+const registerFleetQueries = (
+  fleetQuery: FleetQuery,
+  distribution: Distribution,
+  burn: Burn,
+  selfId: string,
+): void => {
+  fleetQuery.register<{ configVersion: number }, InForceAnswer>(FleetQueryKind.InForce, {
+    answer: ({ configVersion }) =>
+      distribution.configVersion() >= configVersion
+        ? { inForce: 1, lagging: [] }
+        : { inForce: 0, lagging: [selfId] },
+    merge: (left, right) => ({
+      inForce: left.inForce + right.inForce,
+      lagging: [...left.lagging, ...right.lagging].slice(0, laggingNamed),
+    }),
+  });
+  fleetQuery.register(FleetQueryKind.BurnWindows, {
+    answer: () => burn.answer(),
+    merge: mergeBurn,
+  });
+};
+
+/**
+ * Builds and connects the parts of a node; nothing listens or ticks yet.
+ *
+ * @example
+ * const parts = createNodeParts({ settings, self, random, logger, seeds: () => [] });
+ */
+export const createNodeParts = (options: NodePartsOptions): NodeParts => {
+  const { self, random, logger } = options;
+  const late: LateParts = {};
+  const control = createControl(options, late);
+  late.distribution = control.distribution;
+  const { transport, membership, distribution, backendWatch } = control;
+  const rollout = createMoves(options, control);
+  const admission = createOwnAdmission(options, control, rollout);
+  const routing = createChoice(options, control, rollout, admission);
+  const burn = createBurn({ snapshot: distribution.view });
+  const evidence = new BurnRecorder(rollout.recorder, burn);
+  const receiver = createReceiver(options, rollout, admission, evidence);
+  late.receiver = receiver;
+  late.onPeerDraining = (memberId) => reportDraining(membership, routing.router, memberId);
   const calls = createCallPath({
-    self,
+    ...{ self, random, logger, evidence, receiver },
     snapshots: distribution.view,
     router: routing.router,
     rollout: rollout.view,
-    evidence,
-    receiver,
     sender: transport.sender,
     sequence: transport.sequence,
-    random,
-    logger,
   });
   registerFleetQueries(membership.fleetQuery, distribution, burn, self.id);
-  return {
-    transport,
-    membership,
-    distribution,
-    rollout,
-    calls,
-    receiver,
-    repository,
-    backendWatch,
-    systems: [
-      backendWatch,
-      ...membership.systems,
-      ...distribution.systems,
-      ...rollout.systems,
-      ...routing.systems,
-      ...admission.systems,
-      ...transport.systems,
-      ...burn.systems,
-    ],
-  };
+  const decisions = [rollout, routing, admission, transport, burn];
+  const systems = [membership, distribution, ...decisions].flatMap((part) => [...part.systems]);
+  return { ...control, rollout, calls, receiver, systems: [backendWatch, ...systems] };
 };
