Delete sections and manifests of long superseded versions

Cause: nothing that an accept wrote ever left the store. A version goes when it is more than 64 versions and 1 h behind the head. A section that the next version dropped is deleted by compare-and-delete, and only if its revision is not above that of the next version's history entry; accept raises the revision of every section that it takes up and its base lacks. So no section of the head, of a later version or of a running accept is deleted, also by a delete that arrives late. History entries stay. A failure of the retirement does not change the result of apply. Ruled out: reference counts (a lost answer makes them wrong), reading the 64 kept manifests at each accept. Left: sections and manifests that a failed accept wrote stay. Conclusion: the store holds the versions of about the last hour, at least 64, and the history.

--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -145,6 +145,8 @@
         if (earlier) return describeRepeated(earlier);
       }
       const result = await repository.accept(request);
+      // What a failure leaves behind is for the next apply; the configuration is accepted.
+      await repository.retireOldVersions(result.head).catch(() => 0);
       const moves = args.wait ? await readChangedMoves(repository, result).catch(() => []) : [];
       return { result, moves };
     } catch (error) {
--- a/packages/config/src/body-schemas.ts
+++ b/packages/config/src/body-schemas.ts
@@ -111,3 +111,9 @@
     )
     .max(32),
 });
+
+/** Form of the record of how far old versions are retired. */
+export const retirementSchema = z.strictObject({
+  configVersion: z.int().nonnegative(),
+  sectionsDone: z.int().nonnegative(),
+});
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -7,6 +7,7 @@
   checkHead,
   parseHead,
   parseManifest,
+  parseRetirement,
   parseSection,
   parseSeeds,
   parseVerdict,
--- a/packages/config/src/parse-bodies.ts
+++ b/packages/config/src/parse-bodies.ts
@@ -5,6 +5,7 @@
   type HeadRecord,
   type Manifest,
   type MeshSection,
+  type RetirementRecord,
   type RoutesSection,
   type SeedRecord,
   type ServiceSection,
@@ -14,6 +15,7 @@
 import {
   headSchema,
   manifestSchema,
+  retirementSchema,
   meshSchema,
   routesSchema,
   seedRecordSchema,
@@ -162,3 +164,13 @@
  */
 export const parseSeeds = (body: string): SeedRecord =>
   checkForm('Seed record', seedRecordSchema, parseJson('Seed record', body));
+
+/**
+ * Parses and checks the record of how far old versions are retired.
+ *
+ * @example
+ * const { configVersion } = parseRetirement(entry.value);
+ * @throws ConfigDataError if it is not JSON or its form is wrong.
+ */
+export const parseRetirement = (body: string): RetirementRecord =>
+  checkForm('Retirement record', retirementSchema, parseJson('Retirement record', body));
--- a/packages/stand-ins/src/store/key-value-table.ts
+++ b/packages/stand-ins/src/store/key-value-table.ts
@@ -32,6 +32,12 @@
     return entry;
   }
 
+  /** Deletes the key if it has the expected revision; says whether it did. */
+  compareAndDelete(key: string, expectedRevision: number): boolean {
+    if (this.#entries.get(key)?.revision !== expectedRevision) return false;
+    return this.#entries.delete(key);
+  }
+
   /** Waits for a revision of the key after the given one; undefined when `waitMs` is over. */
   watch(key: string, afterRevision: number, waitMs: number): Promise<KeyValueEntry | undefined> {
     const present = this.#entries.get(key);
--- a/packages/stand-ins/src/store/store-server.test.ts
+++ b/packages/stand-ins/src/store/store-server.test.ts
@@ -78,6 +78,23 @@
   matchSnapshot(import.meta.filename, 'faults', rows.join('\n'));
 });
 
+test('a key is deleted over HTTP only under its revision', async () => {
+  // Guards against a late delete that removes what was written again.
+  const first = await store.compareAndSwap('deleted', 0, 'v');
+  const revision = first.kind === 'written' ? first.revision : 0;
+  const current = { value: 'v', revision };
+  assert.deepEqual(await store.compareAndDelete('deleted', revision + 1), {
+    kind: 'conflict',
+    current,
+  });
+  assert.deepEqual(await store.compareAndDelete('deleted', revision), { kind: 'deleted' });
+  assert.equal(await store.get('deleted'), undefined);
+  assert.deepEqual(await store.compareAndDelete('deleted', revision), {
+    kind: 'conflict',
+    current: undefined,
+  });
+});
+
 test('a delayed write takes effect although the client has given up', async () => {
   // Guards against a stand-in without the case in which a lost request arrives later.
   server.faults.replace([rule(FaultEffect.Delay, 'late')]);
--- a/packages/stand-ins/src/store/store-server.ts
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -74,6 +74,19 @@
       const key = request.params['*'];
       return this.#serve(FaultOperation.Write, key, reply, () => this.#swap(request));
     });
+    this.#app.delete<KeyRequest & { Querystring: { expectedRevision?: string } }>(
+      '/v1/kv/*',
+      (request, reply) => {
+        const key = request.params['*'];
+        const expectedRevision = Number(request.query.expectedRevision ?? 0);
+        this.counters.writes += 1;
+        return this.#serve(FaultOperation.Write, key, reply, () =>
+          this.table.compareAndDelete(key, expectedRevision)
+            ? { status: 200, body: {} }
+            : { status: 409, body: { current: this.table.get(key) ?? null } },
+        );
+      },
+    );
     this.#app.get<KeyRequest & { Querystring: { afterRevision?: string; waitMs?: string } }>(
       '/v1/watch/*',
       (request, reply) => {
--- a/packages/store/src/accept-operation.ts
+++ b/packages/store/src/accept-operation.ts
@@ -16,7 +16,7 @@
 import { storeKeys } from './keys.js';
 import { absentRevision, type PlatformStore } from './platform-store.js';
 import { stampDataCentres } from './stamp-data-centres.js';
-import { writeContent } from './write-content.js';
+import { claimContent, writeContent } from './write-content.js';
 
 /** What an operator asks to be accepted. */
 export interface AcceptRequest {
@@ -119,7 +119,7 @@
       sections.filter(({ digest }) => !held.has(digest)).map(({ digest, body }) => [digest, body]),
     );
     await mapInBatches([...missing], ([digest, body]) =>
-      writeContent(this.#store, storeKeys.section(digest), body),
+      claimContent(this.#store, storeKeys.section(digest), body),
     );
     await writeContent(this.#store, storeKeys.manifest(manifest.digest), manifest.body);
   }
--- a/packages/store/src/config-repository.ts
+++ b/packages/store/src/config-repository.ts
@@ -1,9 +1,15 @@
 import { parseSeeds, parseVerdict, toCanonicalJson } from '@sequoiafield/config';
-import { MoveVerdict, type SeedRecord, type VerdictRecord } from '@sequoiafield/types';
+import {
+  MoveVerdict,
+  type HeadRecord,
+  type SeedRecord,
+  type VerdictRecord,
+} from '@sequoiafield/types';
 import { AcceptOperation, type AcceptRequest, type AcceptResult } from './accept-operation.js';
 import { ConfigReader } from './config-reader.js';
 import { StoreNotWrittenError, StoreOutcomeUnknownError } from './errors.js';
 import { storeKeys } from './keys.js';
+import { VersionRetirement, type RetentionOptions } from './retire-versions.js';
 import { absentRevision, type PlatformStore, type StoreEntry } from './platform-store.js';
 
 /** Seeds of a data centre with the store's revision of them. */
@@ -47,7 +53,7 @@
   /**
    * Accepts a configuration: reads the head, writes the sections that are new, then the manifest,
    * and swaps the head once. Calls: 3 reads, one read per changed service with moves and per new
-   * move, one write per new section, 4 more writes, and at most 6 reads to settle a lost answer.
+   * move, one or two writes per section that is new to the head, 4 more writes, and at most 6 reads to settle a lost answer.
    *
    * @throws NotAcceptedError: certainly not accepted; AcceptConflictError: another operator's was;
    * MoveDecidedError: a move has the id of a decided one; AcceptUnknownError: the answer was
@@ -57,6 +63,17 @@
     return new AcceptOperation(this.#store, this, request).run();
   }
 
+  /**
+   * Deletes sections and manifests that only versions name which are more than 64 versions and 1 h
+   * behind the head; history entries stay. At most 28 calls; what is left is for the next run.
+   *
+   * @returns how many versions were retired.
+   * @throws StoreNotWrittenError or StoreOutcomeUnknownError; calling again later is safe.
+   */
+  async retireOldVersions(head: HeadRecord, options?: RetentionOptions): Promise<number> {
+    return new VersionRetirement(this.#store, options).run(head);
+  }
+
   /** Seeds of a data centre, or undefined if none were written. One call. */
   async readSeeds(dataCentre: string): Promise<ReadSeeds | undefined> {
     const entry = await this.#store.get(storeKeys.seeds(dataCentre));
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,6 +1,6 @@
 import { Agent, request, type Dispatcher } from 'undici';
 import { StoreNotWrittenError, StoreOutcomeUnknownError } from './errors.js';
-import type { PlatformStore, StoreEntry, SwapResult } from './platform-store.js';
+import type { DeleteResult, PlatformStore, StoreEntry, SwapResult } from './platform-store.js';
 
 /** Settings of the connection to the store. */
 export interface HttpStoreOptions {
@@ -82,6 +82,20 @@
     }
   }
 
+  async compareAndDelete(key: string, expectedRevision: number): Promise<DeleteResult> {
+    const path = `/v1/kv/${encodeURI(key)}?expectedRevision=${expectedRevision}`;
+    const answer = await this.#write('DELETE', path, undefined, [409]);
+    if (answer.status === 200) return { kind: 'deleted' };
+    const { current } = (answer.body ?? {}) as { current?: unknown };
+    try {
+      return { kind: 'conflict', current: current ? asEntry(current) : undefined };
+    } catch (error) {
+      throw new StoreOutcomeUnknownError(`The answer to DELETE ${path} is not readable:`, {
+        cause: error,
+      });
+    }
+  }
+
   async grantLease(durationMs: number): Promise<{ leaseId: string }> {
     const answer = await this.#write('POST', '/v1/leases', { durationMs }, []);
     return answer.body as { leaseId: string };
@@ -116,7 +130,7 @@
   }
 
   async #write(
-    method: 'POST' | 'PUT',
+    method: 'DELETE' | 'POST' | 'PUT',
     path: string,
     body: unknown,
     otherStatuses: readonly number[],
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -18,10 +18,12 @@
 } from './errors.js';
 export { HttpStore, type HttpStoreOptions } from './http-store.js';
 export { storeKeys } from './keys.js';
+export type { RetentionOptions } from './retire-versions.js';
 export { MemoryFault, MemoryStore, type MemoryCall } from './memory-store.js';
 export {
   absentRevision,
   valueMaxBytes,
+  type DeleteResult,
   type PlatformStore,
   type StoreEntry,
   type SwapResult,
--- a/packages/store/src/keys.ts
+++ b/packages/store/src/keys.ts
@@ -5,6 +5,8 @@
   head: `${prefix}/head`,
   manifest: (digest: string): string => `${prefix}/manifest/${digest}`,
   section: (digest: string): string => `${prefix}/section/${digest}`,
+  /** How far old versions are retired. */
+  retired: `${prefix}/retired`,
   history: (configVersion: number): string => `${prefix}/history/${configVersion}`,
   verdict: (moveId: string): string => `${prefix}/verdict/${moveId}`,
   seeds: (dataCentre: string): string => `${prefix}/seeds/${dataCentre}`,
--- a/packages/store/src/memory-store.ts
+++ b/packages/store/src/memory-store.ts
@@ -1,5 +1,5 @@
 import { StoreNotWrittenError, StoreOutcomeUnknownError } from './errors.js';
-import type { PlatformStore, StoreEntry, SwapResult } from './platform-store.js';
+import type { DeleteResult, PlatformStore, StoreEntry, SwapResult } from './platform-store.js';
 
 /** What goes wrong with one call of a `MemoryStore`. */
 export enum MemoryFault {
@@ -15,12 +15,15 @@
 
 /** One call as the fault decision sees it. */
 export interface MemoryCall {
-  readonly operation: 'get' | 'swap';
+  readonly operation: 'get' | 'swap' | 'delete';
   readonly key: string;
   /** Number of the call, from 1. */
   readonly number: number;
 }
 
+/** Methods of `HttpStore`, for messages. */
+const methods = { swap: 'PUT', delete: 'DELETE' } as const;
+
 /** Later calls that a late write waits for; more than the reads that settle a lost answer. */
 const lateCalls = 10;
 
@@ -61,15 +64,16 @@
   }
 
   async compareAndSwap(key: string, expectedRevision: number, value: string): Promise<SwapResult> {
-    const fault = this.#begin('swap', key);
-    const write = (): SwapResult => this.#swap(key, expectedRevision, value);
-    if (!fault) return write();
-    if (fault === MemoryFault.NotWritten) throw new StoreNotWrittenError(`PUT ${key}: ${fault}`);
-    if (fault === MemoryFault.AnswerLost) write();
-    if (fault === MemoryFault.WrittenLate) {
-      this.#lateWrites.push({ dueNumber: this.calls.length + lateCalls, write });
-    }
-    throw new StoreOutcomeUnknownError(`PUT ${key}: ${fault}`);
+    return this.#write('swap', key, () => this.#swap(key, expectedRevision, value));
+  }
+
+  async compareAndDelete(key: string, expectedRevision: number): Promise<DeleteResult> {
+    return this.#write('delete', key, (): DeleteResult => {
+      const current = this.#entries.get(key);
+      if (current?.revision !== expectedRevision) return { kind: 'conflict', current };
+      this.#entries.delete(key);
+      return { kind: 'deleted' };
+    });
   }
 
   async grantLease(): Promise<{ leaseId: string }> {
@@ -96,7 +100,19 @@
     this.#lateWrites = [];
   }
 
-  #begin(operation: 'get' | 'swap', key: string): MemoryFault | undefined {
+  #write<T>(operation: 'swap' | 'delete', key: string, write: () => T): T {
+    const fault = this.#begin(operation, key);
+    if (!fault) return write();
+    if (fault === MemoryFault.NotWritten)
+      throw new StoreNotWrittenError(`${methods[operation]} ${key}: ${fault}`);
+    if (fault === MemoryFault.AnswerLost) write();
+    if (fault === MemoryFault.WrittenLate) {
+      this.#lateWrites.push({ dueNumber: this.calls.length + lateCalls, write });
+    }
+    throw new StoreOutcomeUnknownError(`${methods[operation]} ${key}: ${fault}`);
+  }
+
+  #begin(operation: MemoryCall['operation'], key: string): MemoryFault | undefined {
     this.calls.push(`${operation} ${key}`);
     const number = this.calls.length;
     const due = this.#lateWrites.filter(({ dueNumber }) => dueNumber <= number);
--- a/packages/store/src/platform-store.ts
+++ b/packages/store/src/platform-store.ts
@@ -14,6 +14,11 @@
       readonly current: StoreEntry | undefined;
     };
 
+/** Result of a compare-and-delete that was answered. */
+export type DeleteResult =
+  | { readonly kind: 'deleted' }
+  | { readonly kind: 'conflict'; readonly current: StoreEntry | undefined };
+
 /** Revision that stands for "the key is absent" in a compare-and-swap. */
 export const absentRevision = 0;
 
@@ -29,6 +34,8 @@
   get(key: string): Promise<StoreEntry | undefined>;
   /** Writes only if the key still has the expected revision (`absentRevision`: does not exist). */
   compareAndSwap(key: string, expectedRevision: number, value: string): Promise<SwapResult>;
+  /** Deletes only if the key still has the expected revision. */
+  compareAndDelete(key: string, expectedRevision: number): Promise<DeleteResult>;
   /** Offered by the platform; no decision of this project rests on a lease. */
   grantLease(durationMs: number): Promise<{ readonly leaseId: string }>;
   keepLease(leaseId: string): Promise<{ readonly isHeld: boolean }>;
--- a/packages/types/src/records.ts
+++ b/packages/types/src/records.ts
@@ -24,3 +24,11 @@
   readonly refreshedAtUnixMs: number;
   readonly seeds: readonly Seed[];
 }
+
+/** How far sections and manifests of old versions are deleted from the store. */
+export interface RetirementRecord {
+  /** Last version whose sections and manifest are gone. */
+  readonly configVersion: number;
+  /** Sections of the next version that are handled already, in the order of their digests. */
+  readonly sectionsDone: number;
+}
