Keep the store reads of a cold start independent of the fleet size

A node that needs the store for manifest or sections waits for its turn among all nodes, asks peers again every 1.5 s, does not make its own askers wait and gives up when a newer head is known. Only a node that has a version reads the sections of a new head from the store first. Seeds of several missing data centres are read one by one where the fleet is large. Random numbers are seeded by the hash of id and incarnation. Ruled out: a lease for the right to read, which a paused holder blocks.

--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -79,6 +79,7 @@
  */
 export const createDistribution = (options: DistributionOptions): Distribution => {
   const { members, registers, links, headSource, checker, random, logger } = options;
+  const expectedFleetSize = options.expectedFleetSize ?? 1;
   const guard = options.guard ?? new StrictGuard(checker);
   const wanted = options.wantedServices ? new Set(options.wantedServices) : undefined;
   const holder = new SnapshotHolder(guard);
@@ -100,6 +101,7 @@
     headSource,
     checker,
     wanted: () => wanted,
+    expectedFleetSize,
   });
   follower = new HeadFollower({ members, registers, holder, cache, fetcher, random, logger });
   const heads = follower;
@@ -112,7 +114,7 @@
     ownVersion: () => holder.version,
   });
   const poller = new HeadPoller(headSource, members, random, logger, {
-    expectedFleetSize: options.expectedFleetSize ?? 1,
+    expectedFleetSize,
     onHead: (head, startedAtMs) => {
       floor.setFromStore(head?.configVersion ?? 0);
       freshness.refreshedByRead(startedAtMs);
@@ -122,6 +124,7 @@
   });
   holder.onSwap((snapshot) => options.onInForce?.(snapshot));
   const seeds = new SeedsKeeper(headSource, members, random, {
+    expectedFleetSize,
     dataCentres: () => holder.current?.mesh.dataCentres.map(({ name }) => name) ?? [],
     onSeedsRead: (read) => options.onSeedsRead?.(read),
   });
--- a/packages/distribution/src/head-follower.ts
+++ b/packages/distribution/src/head-follower.ts
@@ -26,7 +26,7 @@
   readonly registers: RegisterGossip;
   readonly holder: SnapshotHolder;
   readonly cache: SectionCache;
-  readonly fetcher: Pick<SnapshotFetcher, 'fetch'>;
+  readonly fetcher: Pick<SnapshotFetcher, 'fetch' | 'isWaiting'>;
   readonly random: RandomSource;
   readonly logger: Logger;
 }
@@ -79,7 +79,7 @@
   }
 
   async ended(timeoutMs: number): Promise<void> {
-    if (!this.#isFetching) return;
+    if (!this.#isFetching || this.parts.fetcher.isWaiting) return;
     const end = new Promise<void>((resolve) => {
       this.#waiting.push(resolve);
     });
@@ -152,7 +152,10 @@
   #originOf(head: HeadRecord): FetchOrigin {
     const isNew = wallNowUnixMs() - head.acceptedAtUnixMs < newHeadMs;
     const senderId = this.#senderId;
-    const isStoreFirst = senderId === undefined && isNew && this.parts.holder.isBehind(head);
-    return { senderId, isStoreFirst };
+    const { holder } = this.parts;
+    // Nodes that start together would all read every section; one that has a version reads a few.
+    const isStoreFirst =
+      senderId === undefined && isNew && holder.version > 0 && holder.isBehind(head);
+    return { senderId, isStoreFirst, isSuperseded: () => this.#head !== head || this.#isStopped };
   }
 }
--- a/packages/distribution/src/head-poller.ts
+++ b/packages/distribution/src/head-poller.ts
@@ -8,7 +8,7 @@
 } from '@sequoiafield/tables';
 import { tickIntervalMs, type HeadRecord, type MemberView } from '@sequoiafield/types';
 import type { HeadSource } from './sources.js';
-import { burstDelayMs, pollDelayMs, sleep, withTimeout } from './timing.js';
+import { burstDelayMs, firstHeadReadsPerS, pollDelayMs, sleep, withTimeout } from './timing.js';
 
 const readTimeoutMs = 3000;
 /** Members that started within this time count as restarting together with this node. */
@@ -36,6 +36,8 @@
 
   #isStarted = false;
 
+  #isFleetKnown = false;
+
   #failures = 0;
 
   #reads = 0;
@@ -68,8 +70,8 @@
 
   run(tick: Tick): void {
     if (!this.#isStarted || this.#isBusy) return;
-    // The first read is spread over the nodes that restart at the same time.
-    this.#nextAtMs ??= tick.nowMs + burstDelayMs(this.#recentlyStarted(), this.random);
+    this.#planFirstRead(tick.nowMs);
+    if (this.#nextAtMs === undefined) return;
     const waitMs = this.#nextAtMs - tick.nowMs;
     if (waitMs >= tickIntervalMs) return;
     this.#isBusy = true;
@@ -81,6 +83,20 @@
     });
   }
 
+  /**
+   * Spreads the first read over the nodes that restart at the same time. While less than half of
+   * the expected fleet is known, all of it may be restarting.
+   */
+  #planFirstRead(nowMs: number): void {
+    if (this.#isFleetKnown) return;
+    const { expectedFleetSize } = this.listener;
+    this.#isFleetKnown = this.members.fleetSize() >= expectedFleetSize / 2;
+    if (!this.#isFleetKnown && this.#nextAtMs !== undefined) return;
+    const nodes = this.#isFleetKnown ? this.#recentlyStarted() : expectedFleetSize;
+    const atMs = nowMs + burstDelayMs(nodes, this.random, firstHeadReadsPerS);
+    this.#nextAtMs = this.#reads > 0 ? this.#nextAtMs : Math.min(this.#nextAtMs ?? atMs, atMs);
+  }
+
   #recentlyStarted(): number {
     const sinceUnixMs = wallNowUnixMs() - recentStartMs;
     return [...this.members.all()].filter((row) => row.incarnation > sinceUnixMs).length;
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -1,3 +1,4 @@
+export { burstDelayMs, burstWindowMs } from './timing.js';
 export { createDistribution, type Distribution, type DistributionOptions } from './distribution.js';
 export type { FloorSeed } from './join-floor.js';
 export type { FetchCounters } from './snapshot-fetcher.js';
--- a/packages/distribution/src/seeds-keeper.ts
+++ b/packages/distribution/src/seeds-keeper.ts
@@ -7,7 +7,7 @@
   type SeedRecord,
 } from '@sequoiafield/types';
 import type { HeadSource } from './sources.js';
-import { burstDelayMs, withTimeout } from './timing.js';
+import { burstDelayMs, burstWindowMs, withTimeout } from './timing.js';
 
 /** Seeds of one data centre. */
 const seedCount = 5;
@@ -24,6 +24,8 @@
 
 /** What a keeper needs of its node. */
 export interface SeedsListener {
+  /** Nodes to expect before the fleet is known. */
+  readonly expectedFleetSize: number;
   /** Names of the data centres in force; their records are read now and then. */
   dataCentres(): readonly string[];
   /** Called with the seeds of each record that is read. */
@@ -66,12 +68,18 @@
 
   #firstDelayMs(): number {
     const jitterMs = this.random.next() * firstCheckJitterMs;
-    return Math.max(jitterMs, burstDelayMs(this.members.fleetSize(), this.random));
+    return Math.max(jitterMs, burstDelayMs(this.#fleetSize(), this.random));
   }
 
   #delayMs(): number {
     const size = Math.max(1, this.#aliveInOwnDataCentre().length);
-    return checkIntervalMs * size * -Math.log(1 - this.random.next());
+    // Nodes that do not know each other yet all count themselves as the first of their data centre.
+    const meanMs = Math.max(checkIntervalMs * size, burstWindowMs(this.#fleetSize()));
+    return meanMs * -Math.log(1 - this.random.next());
+  }
+
+  #fleetSize(): number {
+    return Math.max(this.members.fleetSize(), this.listener.expectedFleetSize);
   }
 
   #aliveInOwnDataCentre(): readonly MemberRow[] {
--- a/packages/distribution/src/snapshot-fetcher.ts
+++ b/packages/distribution/src/snapshot-fetcher.ts
@@ -1,4 +1,4 @@
-import type { RandomSource } from '@sequoiafield/tables';
+import { monotonicNowMs, type RandomSource } from '@sequoiafield/tables';
 import {
   sharedSectionNames,
   type HeadRecord,
@@ -33,6 +33,8 @@
   readonly senderId: string | undefined;
   /** True for a head so new that only this node, which read it from the store, may know it. */
   readonly isStoreFirst: boolean;
+  /** Whether the fetch has become useless, since a newer head is known. */
+  readonly isSuperseded: () => boolean;
 }
 
 /** What a fetcher needs of its node. */
@@ -48,10 +50,13 @@
   readonly checker: SectionChecker;
   /** Services to hold; undefined for all. */
   readonly wanted: () => ReadonlySet<string> | undefined;
+  readonly expectedFleetSize: number;
 }
 
 const storeTimeoutMs = 3000;
 const parallelReads = 8;
+/** Mean time after which a node that waits for its turn at the store asks peers again. */
+const askAgainMs = 1500;
 
 /**
  * Fetches manifest and sections, from peers first, and builds a checked snapshot.
@@ -62,8 +67,15 @@
 export class SnapshotFetcher {
   readonly counters: FetchCounters = { fromPeers: 0, fromStore: 0, badDigests: 0 };
 
+  #isWaiting = false;
+
   constructor(private readonly parts: FetcherParts) {}
 
+  /** Whether a fetch waits for its turn at the store, so that peers need not wait for it. */
+  get isWaiting(): boolean {
+    return this.#isWaiting;
+  }
+
   /**
    * Resolves with a whole, checked snapshot. Rejects with `DistributionError` if a part could not
    * be fetched, and with `RefusedSnapshotError` if its content is wrong, which no retry changes.
@@ -95,18 +107,21 @@
       if (stored) return accept(stored);
     }
     const base = cache.manifest(this.parts.holder.current?.manifestDigest ?? '');
-    for (const peer of this.parts.peers.candidates(origin.senderId)) {
-      try {
-        const delta = await this.parts.exchange.askManifest(peer, head, base?.configVersion ?? 0);
-        const manifest = accept(applyDelta(base, delta));
-        this.counters.fromPeers += 1;
-        return manifest;
-      } catch {
-        // The next source is asked.
+    const askPeers = async (): Promise<boolean> => {
+      for (const peer of this.parts.peers.candidates(origin.senderId)) {
+        try {
+          const delta = await this.parts.exchange.askManifest(peer, head, base?.configVersion ?? 0);
+          accept(applyDelta(base, delta));
+          this.counters.fromPeers += 1;
+          return true;
+        } catch {
+          // The next source is asked.
+        }
       }
-    }
-    await this.#awaitStoreTurn();
-    return accept(await this.#manifestFromStore(head));
+      return false;
+    };
+    if (!(await askPeers())) await this.#awaitStoreTurn(1, origin, askPeers);
+    return cache.manifest(head.manifestDigest) ?? accept(await this.#manifestFromStore(head));
   }
 
   async #manifestFromStore(head: HeadRecord): Promise<Manifest> {
@@ -125,9 +140,12 @@
       names.filter((name) => !this.parts.cache.section(manifest.sections[name] ?? ''));
     if (lacking().length === 0) return;
     if (!origin.isStoreFirst) {
-      await this.#sectionsFromPeers(manifest, lacking, origin.senderId);
-      if (lacking().length === 0) return;
-      await this.#awaitStoreTurn();
+      const askPeers = async (): Promise<boolean> => {
+        await this.#sectionsFromPeers(manifest, lacking, origin.senderId);
+        return lacking().length === 0;
+      };
+      if (await askPeers()) return;
+      if (await this.#awaitStoreTurn(lacking().length, origin, askPeers)) return;
     }
     await this.#sectionsFromStore(manifest, lacking());
     if (lacking().length > 0 && origin.isStoreFirst) {
@@ -221,8 +239,31 @@
     };
   }
 
-  /** Spreads the store reads of nodes whose peers could not help at the same moment. */
-  #awaitStoreTurn(): Promise<void> {
-    return sleep(burstDelayMs(this.parts.members.fleetSize(), this.parts.random));
+  /**
+   * Spreads the store reads of nodes whose peers could not help at the same moment. Meanwhile peers
+   * are asked again, so that in a cold start few nodes read and the others get it from them.
+   * Says whether peers helped; rejects with `DistributionError` if the fetch has become useless.
+   */
+  async #awaitStoreTurn(
+    reads: number,
+    origin: FetchOrigin,
+    askPeers: () => Promise<boolean>,
+  ): Promise<boolean> {
+    const { members, random, expectedFleetSize } = this.parts;
+    const nodes = Math.max(members.fleetSize(), expectedFleetSize);
+    const endMs = monotonicNowMs() + burstDelayMs(nodes * reads, random);
+    try {
+      for (;;) {
+        const leftMs = endMs - monotonicNowMs();
+        this.#isWaiting = true;
+        await sleep(Math.min(Math.max(0, leftMs), askAgainMs * (0.5 + random.next())));
+        this.#isWaiting = false;
+        if (origin.isSuperseded()) throw failure('A newer head is known');
+        if (endMs <= monotonicNowMs()) return false;
+        if (await askPeers()) return true;
+      }
+    } finally {
+      this.#isWaiting = false;
+    }
   }
 }
--- a/packages/distribution/src/timing.ts
+++ b/packages/distribution/src/timing.ts
@@ -3,11 +3,12 @@
 
 /** Head reads of the whole fleet per second, whatever its size. */
 const headReadsPerS = 20;
-/** Reads per second that the whole fleet may add at once: a tenth of what the store handles. */
+/** Reads per second of one kind that the whole fleet may add at once: a tenth of the store's 2,000. */
 const burstReadsPerS = 200;
 const minPollMs = 500;
 const maxBackOffMs = 30_000;
-const maxBurstDelayMs = 15_000;
+/** First head reads may take more, since a restarted node serves only after its own. */
+export const firstHeadReadsPerS = 500;
 
 /** Resolves after a time. */
 export const sleep = (durationMs: number): Promise<void> =>
@@ -32,6 +33,10 @@
   }
 };
 
+/** Time that the store gives to a number of reads; the mean interval of a read that all repeat. */
+export const burstWindowMs = (reads: number, readsPerS = burstReadsPerS): number =>
+  (reads / readsPerS) * 1000;
+
 const exponential = (random: RandomSource): number => -Math.log(1 - random.next());
 
 /**
@@ -45,6 +50,15 @@
   return Math.min(Math.max(minPollMs, drawnMs), 4 * backedOffMs);
 };
 
-/** Delay that spreads reads which `nodes` nodes may need at the same moment. */
-export const burstDelayMs = (nodes: number, random: RandomSource): number =>
-  random.next() * Math.min(maxBurstDelayMs, (nodes / burstReadsPerS) * 1000);
+/**
+ * Delay that spreads reads which nodes may need at the same moment over the time that the store
+ * gives them, whatever their number.
+ *
+ * @example
+ * await sleep(burstDelayMs(fleetSize * readsPerNode, random));
+ */
+export const burstDelayMs = (
+  reads: number,
+  random: RandomSource,
+  readsPerS = burstReadsPerS,
+): number => random.next() * burstWindowMs(reads, readsPerS);
--- a/packages/node/src/node-process.ts
+++ b/packages/node/src/node-process.ts
@@ -1,6 +1,6 @@
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import type { NodeSettings } from '@sequoiafield/config';
+import { digestOf, type NodeSettings } from '@sequoiafield/config';
 import { NodeError } from '@sequoiafield/errors';
 import { logEvents, type Logger } from '@sequoiafield/logger';
 import { SeededRandom, TickLoop, wallNowUnixMs, type System } from '@sequoiafield/tables';
@@ -44,7 +44,9 @@
     private readonly self: MemberAnnouncement,
     private readonly logger: Logger,
   ) {
-    const random = new SeededRandom(self.incarnation % 0x7fffffff);
+    // Nodes that start together have close incarnations, and close seeds give close first numbers.
+    const seedText = digestOf(`${self.id} ${self.incarnation}`).slice(0, 8);
+    const random = new SeededRandom(Number.parseInt(seedText, 16));
     const settingsSeeds = settings.gossip.seeds.map(({ address, port }) => ({
       id: '',
       address,
@@ -63,6 +65,7 @@
         membership,
         readSeeds,
         random,
+        settings.gossip.expectedFleetSize,
       ),
     ];
     this.#loop = new TickLoop(systems, (system, error) =>
--- a/packages/node/src/seed-finder.ts
+++ b/packages/node/src/seed-finder.ts
@@ -1,3 +1,4 @@
+import { burstDelayMs, burstWindowMs } from '@sequoiafield/distribution';
 import type { Membership } from '@sequoiafield/membership';
 import type { RandomSource, System, Tick } from '@sequoiafield/tables';
 import { MemberState, type MemberView, type Seed, type SnapshotView } from '@sequoiafield/types';
@@ -27,16 +28,19 @@
     private readonly membership: Pick<Membership, 'greet' | 'join'>,
     private readonly readSeeds: ReadSeeds,
     private readonly random: RandomSource,
+    /** Nodes to expect before the fleet is known; all of them may look for peers at once. */
+    private readonly expectedFleetSize: number,
   ) {}
 
   run({ nowMs }: Tick): void {
-    this.#nextAtMs ??= nowMs + this.random.next() * firstJitterMs;
+    this.#nextAtMs ??= nowMs + this.#firstDelayMs();
     if (this.#isBusy || nowMs < this.#nextAtMs) return;
-    this.#nextAtMs = nowMs + intervalMs * (0.5 + this.random.next());
     const missing = this.#missingDataCentres();
+    const windowMs = burstWindowMs(this.#fleetSize());
+    this.#nextAtMs = nowMs + Math.max(intervalMs, windowMs) * (0.5 + this.random.next());
     if (missing.length === 0) return;
     this.#isBusy = true;
-    this.#find(missing)
+    this.#find(this.#chooseAsked(missing))
       // A store that is down is asked again after the interval; peers may still find this node.
       .catch(() => undefined)
       .finally(() => {
@@ -44,6 +48,21 @@
       });
   }
 
+  #firstDelayMs(): number {
+    const jitterMs = this.random.next() * firstJitterMs;
+    return Math.max(jitterMs, burstDelayMs(this.#fleetSize(), this.random));
+  }
+
+  #fleetSize(): number {
+    return Math.max(this.members.fleetSize(), this.expectedFleetSize);
+  }
+
+  /** All of them, or one at random where the whole fleet could not read all in an interval. */
+  #chooseAsked(missing: readonly string[]): readonly string[] {
+    if (burstWindowMs(this.#fleetSize() * missing.length) <= intervalMs) return missing;
+    return missing.slice(this.random.below(missing.length)).slice(0, 1);
+  }
+
   #missingDataCentres(): readonly string[] {
     const known = new Set<string>();
     for (const member of this.members.all()) {
