Test with real processes that a stale node cannot exceed a share

Cause: the enforcement of the share by the receiving node was tested only on the paused clock.

The harness puts the way of each node to the store behind the fault proxy for it; "*" still means the gossip and link paths only.

Ruled out: a node with a wrong clock; its share stays under the stage that it hears by gossip, so that it exceeds the others by little.

Figures: half of 120 calls/s come in at the stale node.

--- /dev/null
+++ b/packages/integration-tests/src/share.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { FaultMode, LocalMesh } from '@sequoiafield/stand-ins';
+import { buildBundles } from './build.js';
+import { kerasmaFiles, settlementInstances, withMove } from './configurations.js';
+
+const oldInstances = settlementInstances(['ath-1', 'ath-1', 'ath-2']);
+const newInstances = ['s4', 's5'].map((id, index) => ({
+  ...{ id, dataCentre: `ath-${index + 1}`, service: 'settlement', backendVersion: 'v2' },
+  behaviour: { serviceTimeMs: 5 },
+}));
+const mesh = new LocalMesh({
+  distFolder: buildBundles(),
+  instances: [...oldInstances, ...newInstances],
+  isProxied: true,
+});
+const files = kerasmaFiles({ 'ath-1': 'in', 'ath-2': 'in' });
+const ratePerS = 120;
+
+const load = (runId: string, durationS: number) =>
+  mesh.startLoad(
+    [
+      ...['--lookup', 'GET /tabs/{n}', '--request', 'POST /settle/{n}', '--lookupPercent', '50'],
+      ...['--rate', String(ratePerS), '--durationS', String(durationS), '--deadlineMs', '1500'],
+      ...['--runId', runId],
+    ],
+    ['s1', 's3'],
+  );
+
+const applyMove = (id: string, durationS: number, args: readonly string[]) => {
+  const now = Date.now();
+  const [startAt, finishBy] = [new Date(now), new Date(now + durationS * 1000)];
+  return mesh.apply(
+    withMove(files, { id, service: 'settlement', from: 'v1', to: 'v2', startAt, finishBy }),
+    args,
+  );
+};
+
+const startedCalls = async (ids: readonly string[]): Promise<number> => {
+  let calls = 0;
+  for (const id of ids) {
+    const response = await fetch(`${mesh.instance(id).backendUrl}/-/ledger`);
+    calls += Object.keys(((await response.json()) as { entries: object }).entries).length;
+  }
+  return calls;
+};
+
+const countShare = async (durationMs: number): Promise<number> => {
+  const all = [...mesh.instances.keys()];
+  const earlier = [await startedCalls(['s4', 's5']), await startedCalls(all)] as const;
+  await delay(durationMs);
+  const now = [await startedCalls(['s4', 's5']), await startedCalls(all)] as const;
+  return (100 * (now[0] - earlier[0])) / (now[1] - earlier[1]);
+};
+
+before(async () => {
+  await mesh.start();
+  assert.equal((await mesh.apply(files)).code, 0);
+  await mesh.waitInForce(1);
+});
+
+after(() => mesh.stop());
+
+test('a node that missed the start of a move over cannot exceed its share', async () => {
+  // Guards against a stale snapshot of one caller that exposes half of the traffic: s1 takes the
+  // earlier move for done and sends all of its calls to the new version.
+  const finishFirst = load('first', 24);
+  const admin = ['--wait', '--timeout-s', '60', '--admin', mesh.anyInstance.adminUrl];
+  const { code, log } = await applyMove('first', 24, admin);
+  assert.equal(code, 0, log);
+  await finishFirst();
+  await mesh.setFault(['gossip:s1', 'store:s1'], { mode: FaultMode.Cut });
+  assert.equal((await applyMove('second', 600, [])).code, 0);
+  await mesh.waitUntil('the others follow', 10_000, async () =>
+    (await Promise.all(['s3', 's4', 's5'].map((id) => mesh.instance(id).state()))).every(
+      ({ configVersion }) => configVersion === 3,
+    ),
+  );
+  const finish = load('second', 22);
+  await delay(1000);
+  const firstPercent = await countShare(2000);
+  await delay(11_000);
+  const laterPercent = await countShare(5000);
+  const { outcomes, verification } = await finish();
+  assert.equal((await mesh.instance('s1').state()).configVersion, 2);
+  assert.ok(firstPercent > 30, `${firstPercent} % at first`);
+  assert.ok(laterPercent < 8, `${laterPercent} % later, ${firstPercent} % at first`);
+  assert.equal(verification.violationCount, 0, JSON.stringify(verification.violations));
+  assert.ok((outcomes.answered ?? 0) > 0.98 * 22 * ratePerS, JSON.stringify(outcomes));
+});
--- a/packages/stand-ins/src/harness/local-instance.ts
+++ b/packages/stand-ins/src/harness/local-instance.ts
@@ -30,6 +30,8 @@
   readonly backendServer: number;
   readonly advertisedGossip: number;
   readonly advertisedLink: number;
+  /** Where the fault proxy listens for calls to the store; 0 without it. */
+  readonly store: number;
 }
 
 /**
@@ -46,6 +48,7 @@
   backendServer: await takeFreePort(),
   advertisedGossip: isProxied ? await takeFreePort() : 0,
   advertisedLink: isProxied ? await takeFreePort() : 0,
+  store: isProxied ? await takeFreePort() : 0,
 });
 
 /** One instance of a local mesh: a node process and a backend server process. */
--- a/packages/stand-ins/src/harness/local-mesh.ts
+++ b/packages/stand-ins/src/harness/local-mesh.ts
@@ -40,7 +40,7 @@
   /** Folder with the bundles `sequoiafield.cjs` and `stand-ins.cjs`. */
   readonly distFolder: string;
   readonly instances: readonly InstancePlan[];
-  /** Puts a fault proxy in front of the gossip and link ports of every instance. */
+  /** Puts a fault proxy in front of every instance's gossip and link port and of its store access. */
   readonly isProxied?: boolean;
   readonly seed?: number;
   /** Names the other instances in the settings, so that nodes find peers without the store. */
@@ -81,7 +81,8 @@
     await this.#store.ready();
     for (const plan of this.options.instances) {
       const ports = await takeInstancePorts(this.options.isProxied === true);
-      const instance = new LocalInstance(plan, ports, this.#paths, this.storeUrl, () =>
+      const storeUrl = ports.store ? `http://127.0.0.1:${ports.store}` : this.storeUrl;
+      const instance = new LocalInstance(plan, ports, this.#paths, storeUrl, () =>
         this.#seedsFor(plan.id),
       );
       this.instances.set(plan.id, instance);
@@ -168,9 +169,14 @@
     return (await response.json()) as Record<string, number>;
   }
 
-  /** Sets the fault of proxied paths: `link:ID` and `gossip:ID`, or `*` for all. */
+  /**
+   * Sets the fault of proxied paths: `link:ID` and `gossip:ID`, or `*` for all of these, and
+   * `store:ID` for the way of one node to the store.
+   */
   async setFault(paths: readonly string[], fault: Partial<Fault>): Promise<void> {
-    await this.#put(`${this.#proxyUrl}/faults`, { paths, ...fault });
+    const all = [...this.instances.keys()].flatMap((id) => [`gossip:${id}`, `link:${id}`]);
+    const names = paths.flatMap((path) => (path === '*' ? all : [path]));
+    await this.#put(`${this.#proxyUrl}/faults`, { paths: names, ...fault });
   }
 
   /** Starts the call generator; the result compares with the ledgers of all backend servers. */
@@ -214,6 +220,7 @@
     const paths = [...this.instances.values()].flatMap(({ plan, ports }) => [
       ...['--path', `gossip:${plan.id}=udp:${ports.advertisedGossip}:${ports.gossip}`],
       ...['--path', `link:${plan.id}=tcp:${ports.advertisedLink}:${ports.link}`],
+      ...['--path', `store:${plan.id}=tcp:${ports.store}:${new URL(this.storeUrl).port}`],
     ]);
     this.#proxyUrl = `http://127.0.0.1:${controlPort}`;
     this.#proxy = new ManagedProcess('fault proxy', this.#paths.standIns, [
