--- a/packages/integration-tests/src/configurations.ts
+++ b/packages/integration-tests/src/configurations.ts
@@ -37,6 +37,12 @@
     '',
   ].join('\n');
 
+/** One service with a lookup `GET /NAME/tabs/*` and a request `POST /NAME/settle/*`. */
+const prefixedServiceText = (name: string): string =>
+  serviceText(name, 'critical') +
+  routeText(name, 'GET', `/${name}/tabs/*`, true) +
+  routeText(name, 'POST', `/${name}/settle/*`, false);
+
 const dataCentreText = (name: string, state: string): string =>
   [`[data-centre ${name}]`, 'region = local', `state = ${state}`, 'ramp_s = 5', ''].join('\n');
 
@@ -61,10 +67,17 @@
   ].join('\n'),
 });
 
-/** Adds a move in a file of its own. */
-export const withMove = (files: ConfigurationFiles, move: TestMove): ConfigurationFiles => ({
-  ...files,
-  '50-move.ini': [
+/** Several services with paths of their own, so that one mesh serves several cells at a time. */
+export const serviceFiles = (
+  dataCentres: readonly string[],
+  services: readonly string[],
+): ConfigurationFiles => ({
+  '10-data-centres.ini': dataCentres.map((name) => dataCentreText(name, 'in')).join('\n'),
+  '20-services.ini': services.map(prefixedServiceText).join('\n'),
+});
+
+const moveText = (move: TestMove): string =>
+  [
     `[move ${move.id}]`,
     `service = ${move.service}`,
     `from = ${move.from}`,
@@ -73,8 +86,17 @@
     `finish_by = ${move.finishBy.toISOString()}`,
     'unproven_cap_percent = 5',
     '',
-  ].join('\n'),
-});
+  ].join('\n');
+
+/** Adds moves in a file of their own. */
+export const withMoves = (
+  files: ConfigurationFiles,
+  moves: readonly TestMove[],
+): ConfigurationFiles => ({ ...files, '50-move.ini': moves.map(moveText).join('\n') });
+
+/** Adds a move in a file of its own. */
+export const withMove = (files: ConfigurationFiles, move: TestMove): ConfigurationFiles =>
+  withMoves(files, [move]);
 
 /** One instance of settlement v1 per data centre named, with ids `s1`, `s2` and so on. */
 export const settlementInstances = (dataCentres: readonly string[]): readonly InstancePlan[] =>
@@ -85,3 +107,17 @@
     backendVersion: 'v1',
     behaviour: { serviceTimeMs: 5 },
   }));
+
+/** Instances of v1 and v2 of a service with ids `SERVICE-v1-1` and so on, spread over data centres. */
+export const moveInstances = (
+  service: string,
+  dataCentres: readonly string[],
+  perVersion: number,
+): readonly InstancePlan[] =>
+  ['v1', 'v2'].flatMap((backendVersion) =>
+    Array.from({ length: perVersion }, (_, index) => ({
+      id: `${service}-${backendVersion}-${index + 1}`,
+      dataCentre: dataCentres[index % dataCentres.length]!,
+      ...{ service, backendVersion, behaviour: { serviceTimeMs: 10 } },
+    })),
+  );
