--- /dev/null
+++ b/packages/integration-tests/src/support/ledger-lines.ts
@@ -0,0 +1,44 @@
+import { readFileSync } from 'node:fs';
+import { LedgerEvent, type LedgerLine, type LocalMesh } from '@sequoiafield/stand-ins';
+
+/** One line of a ledger with the backend server that wrote it. */
+export interface ServerLine extends LedgerLine {
+  readonly serverId: string;
+  readonly backendVersion: string;
+}
+
+/**
+ * Lines of the ledger files of a service's backend servers, of killed ones too.
+ *
+ * @example
+ * readLedgerLines(mesh, 'settlement').filter(({ event }) => event === LedgerEvent.Start).length;
+ */
+export const readLedgerLines = (mesh: LocalMesh, service: string): readonly ServerLine[] =>
+  [...mesh.instances.values()]
+    .filter(({ plan }) => plan.service === service)
+    .flatMap(({ plan, ledgerFile }) =>
+      readFileSync(ledgerFile, 'utf8')
+        .split('\n')
+        // The last line may be in the middle of being written.
+        .filter((text) => text.endsWith('}'))
+        .map((text) => ({
+          ...(JSON.parse(text) as LedgerLine),
+          serverId: plan.id,
+          backendVersion: plan.backendVersion,
+        })),
+    );
+
+/**
+ * Calls that started, in the order of their start.
+ *
+ * @example
+ * readStarts(mesh, 'settlement', 'run-1').at(-1)?.serverId;
+ */
+export const readStarts = (
+  mesh: LocalMesh,
+  service: string,
+  runId: string,
+): readonly ServerLine[] =>
+  readLedgerLines(mesh, service)
+    .filter(({ event, requestId }) => event === LedgerEvent.Start && requestId.startsWith(runId))
+    .sort((left, right) => left.atUnixMs - right.atUnixMs);
