--- a/packages/stand-ins/src/harness/local-mesh.ts
+++ b/packages/stand-ins/src/harness/local-mesh.ts
@@ -80,14 +80,14 @@
     ]);
     await this.#store.ready();
     for (const plan of this.options.instances) {
-      const ports = await takeInstancePorts(this.options.isProxied === true);
+      const ports = await takeInstancePorts(this.options.isProxied === true, plan.address);
       const storeUrl = ports.store ? `http://127.0.0.1:${ports.store}` : this.storeUrl;
       const instance = new LocalInstance(plan, ports, this.#paths, storeUrl, () =>
         this.#seedsFor(plan.id),
       );
       this.instances.set(plan.id, instance);
     }
-    if (this.options.isProxied) await this.#startProxy();
+    if (this.options.isProxied) await this.#startProxy(storePort);
     await Promise.all([...this.instances.values()].map((instance) => instance.start()));
   }
 
@@ -212,15 +212,15 @@
     if (!this.options.hasSeedSettings) return [];
     return [...this.instances.values()]
       .filter(({ plan }) => plan.id !== id)
-      .map(({ ports }) => `127.0.0.1:${ports.advertisedGossip || ports.gossip}`);
+      .map(({ ports, address }) => `${address}:${ports.advertisedGossip || ports.gossip}`);
   }
 
-  async #startProxy(): Promise<void> {
+  async #startProxy(storePort: number): Promise<void> {
     const controlPort = await takeFreePort();
-    const paths = [...this.instances.values()].flatMap(({ plan, ports }) => [
-      ...['--path', `gossip:${plan.id}=udp:${ports.advertisedGossip}:${ports.gossip}`],
-      ...['--path', `link:${plan.id}=tcp:${ports.advertisedLink}:${ports.link}`],
-      ...['--path', `store:${plan.id}=tcp:${ports.store}:${new URL(this.storeUrl).port}`],
+    const paths = [...this.instances.values()].flatMap(({ plan, ports, address }) => [
+      ...['--path', `gossip:${plan.id}=udp:${address}:${ports.advertisedGossip}:${ports.gossip}`],
+      ...['--path', `link:${plan.id}=tcp:${address}:${ports.advertisedLink}:${ports.link}`],
+      ...['--path', `store:${plan.id}=tcp:127.0.0.1:${ports.store}:${storePort}`],
     ]);
     this.#proxyUrl = `http://127.0.0.1:${controlPort}`;
     this.#proxy = new ManagedProcess('fault proxy', this.#paths.standIns, [
