Move the repair of registers out of the gossip class

Change: RegisterRepair compares registers and answers summaries; Gossip keeps datagrams and rumours.

--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -1,10 +1,5 @@
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
-import {
-  MemberState,
-  RegisterKind,
-  type MemberAnnouncement,
-  type RegisterEntry,
-} from '@sequoiafield/types';
+import { MemberState, type MemberAnnouncement, type RegisterEntry } from '@sequoiafield/types';
 import { ByteBudget } from './byte-budget.js';
 import { newCounters } from './counters.js';
 import type { DatagramPort } from './datagram-port.js';
@@ -12,8 +7,8 @@
 import type { Belief, MembersTable } from './members-table.js';
 import type { PeerPicker } from './peer-picker.js';
 import type { SpreadPolicy } from './policies.js';
-import { isBehind, missingItems, readSummary, summarize } from './register-summary.js';
-import { headKey, type RegisterTable } from './register-table.js';
+import { RegisterRepair } from './register-repair.js';
+import type { RegisterTable } from './register-table.js';
 import { itemOverheadBytes, RumourQueue } from './rumour-queue.js';
 import type { Suspicions } from './suspicions.js';
 import {
@@ -31,7 +26,8 @@
 } from './wire.js';
 
 type MessageHandler = (message: Message) => void;
-type Destination = Pick<MemberAnnouncement, 'address' | 'gossipPort'>;
+/** Where a datagram goes. */
+export type Destination = Pick<MemberAnnouncement, 'address' | 'gossipPort'>;
 
 interface PendingPush {
   readonly key: string;
@@ -55,8 +51,6 @@
 const pushGatherMs = 20;
 /** A push that waited longer for the byte budget has meanwhile travelled as a rumour. */
 const pushExpiryMs = 3000;
-/** Shortest time between two requests for a head that datagrams of others showed. */
-const headRequestIntervalMs = 100;
 
 /**
  * Raises of the announced incarnation by one process. A former life takes one or two; two running
@@ -101,10 +95,14 @@
 
   #pushedAtMs = Number.NEGATIVE_INFINITY;
 
-  #headRequestedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #repair: RegisterRepair;
 
   constructor(private readonly parts: GossipParts) {
-    this.on(MessageType.RegisterSummary, (message) => this.#answerSummary(message));
+    this.#repair = new RegisterRepair(parts, {
+      hasBudget: () => this.#budget.hasLeft(),
+      send: (type, to, options) => this.send(type, to, options),
+    });
+    this.on(MessageType.RegisterSummary, (message) => this.#repair.answerSummary(message));
     parts.port.onMessage((bytes) => this.#receive(bytes));
   }
 
@@ -255,7 +253,7 @@
       const message = decodeMessage(bytes);
       if (message.fromId === this.parts.members.selfId) return;
       for (const item of message.items) this.#apply(item, message.fromId);
-      this.#repair(message);
+      if (this.parts.policy.isRepairing) this.#repair.compare(message);
       this.#handlers.get(message.type)?.(message);
     } catch {
       this.counters.droppedDatagrams += 1;
@@ -318,46 +316,4 @@
     const row = members.get(id);
     if (isNews && row) this.spreadState(row, MemberState.Suspect, suspicions.observersOf(id));
   }
-
-  /** Compares registers with a peer that was heard; pushes an older head or asks for the rest. */
-  #repair(message: Message): void {
-    const { members, registers, policy } = this.parts;
-    const isExchange = message.type === MessageType.Ping || message.type === MessageType.Ack;
-    const peer = members.get(message.fromId);
-    if (!policy.isRepairing || !peer) return;
-    if (message.headRank > registers.headRank) this.#requestHead(peer);
-    if (!isExchange || message.registerHash === registers.hash) return;
-    const head = registers.read(RegisterKind.Head, headKey);
-    if (head && head.rank > message.headRank) {
-      this.send(MessageType.Push, peer, { items: [encodeRegister(head)] });
-    }
-    this.#sendSummary(peer, false);
-  }
-
-  /**
-   * Asks the sender of any datagram that shows a newer head. The push leaves out each node with a
-   * probability of e^-4, and without this such a node would wait for the next probe.
-   */
-  #requestHead(peer: GossipRow): void {
-    const nowMs = monotonicNowMs();
-    if (nowMs - this.#headRequestedAtMs < headRequestIntervalMs) return;
-    this.#headRequestedAtMs = nowMs;
-    this.#sendSummary(peer, true);
-  }
-
-  #sendSummary(peer: GossipRow, isReply: boolean): void {
-    if (!this.#budget.hasLeft()) return;
-    const argument = summarize(this.parts.registers, isReply);
-    this.send(MessageType.RegisterSummary, peer, { argument });
-  }
-
-  /** Answers a summary with the entries that the peer lacks, and asks for those it is ahead in. */
-  #answerSummary(message: Message): void {
-    const peer = this.parts.members.get(message.fromId);
-    const summary = readSummary(message.argument);
-    if (!peer) return;
-    const items = missingItems(this.parts.registers, summary, message.headRank);
-    if (items.length > 0) this.send(MessageType.Push, peer, { items });
-    if (isBehind(this.parts.registers, summary) && !summary.isReply) this.#sendSummary(peer, true);
-  }
 }
