Give the cut of regions-apart enough calls for a verdict

At 30 calls/s and shares of 1 to 5 % the bad version gets about ten calls, so that chance decides whether the failures suffice in time. Change: 80 calls/s for the service that moves, as in the other cells of moves; bounds and faults are the same. Also: waitUntil stands once, in test-kit, and recovery uses the shared reader of the head.

--- a/packages/admission/src/adaptive-slot-limiter.ts
+++ b/packages/admission/src/adaptive-slot-limiter.ts
@@ -25,8 +25,9 @@
  * Ramps a cold backend server by its own latency. A window of ended calls is compared with the
  * history of each route: well within it the slots grow, far above it the backend server counts as
  * cold and gets fewer. So does one whose running calls are mostly far older than the history, since
- * calls on a cold server may take seconds to end. When fewer slots do not lower the latency, the cause lies elsewhere (a slow
- * service further down), so the history adopts the new level and the slots grow again.
+ * calls on a cold server may take seconds to end. When fewer slots do not lower the latency, the
+ * cause lies elsewhere (a slow service further down), so the history adopts the new level and the
+ * slots grow again.
  *
  * @example
  * const limiter = new AdaptiveSlotLimiter('node-1', logger);
--- a/packages/calls/src/connections.test.ts
+++ b/packages/calls/src/connections.test.ts
@@ -2,8 +2,8 @@
 import { createConnection } from 'node:net';
 import { setTimeout } from 'node:timers/promises';
 import { test } from 'node:test';
+import { waitUntil } from '@sequoiafield/test-kit';
 import { FaultyBackend } from './test-support/faulty-backend.js';
-import { waitUntil } from './test-support/wait-until.js';
 import { listen, RigNode, type RigOptions } from './test-support/rig.js';
 
 const startPair = async (origin: string, options: RigOptions = {}) => {
--- a/packages/integration-tests/src/recovery.test.ts
+++ b/packages/integration-tests/src/recovery.test.ts
@@ -4,6 +4,7 @@
 import { FaultEffect, FaultOperation, LocalMesh } from '@sequoiafield/stand-ins';
 import { buildBundles } from './build.js';
 import { kerasmaFiles, settlementInstances, type ConfigurationFiles } from './configurations.js';
+import { readHeadVersion } from './support/store-records.js';
 
 const instances = settlementInstances(['ath-1', 'ath-1', 'ath-1', 'ath-2', 'ath-2', 'ath-2']);
 /** Time after which a data centre that is out, or a server that leaves, gets no new work. */
@@ -27,12 +28,6 @@
     targets,
   );
 
-const headVersion = async (): Promise<number> => {
-  const response = await fetch(`${mesh.storeUrl}/v1/kv/sequoiafield/head`);
-  const { value } = (await response.json()) as { value: string };
-  return (JSON.parse(value) as { configVersion: number }).configVersion;
-};
-
 const startedCalls = async (ids: readonly string[]): Promise<number> => {
   const counts = await Promise.all(
     ids.map(async (id) => {
@@ -103,7 +98,7 @@
 
 test('of two racing operators one is accepted and the other sees the conflict', async () => {
   // Guards against a change that silently replaces another operator's change.
-  const version = await headVersion();
+  const version = await readHeadVersion(mesh);
   await mesh.setStoreFaults([
     {
       effect: FaultEffect.Delay,
@@ -122,13 +117,13 @@
   );
   await mesh.setStoreFaults([]);
   assert.deepEqual(results.map(({ code }) => code).sort(), [0, 3]);
-  assert.equal(await headVersion(), version + 1);
+  assert.equal(await readHeadVersion(mesh), version + 1);
   await mesh.waitInForce(version + 1);
 });
 
 test('an accept whose answer is lost is settled by reading back', async () => {
   // Guards against an accept that is written twice, or reported as failed although it holds.
-  const version = await headVersion();
+  const version = await readHeadVersion(mesh);
   await mesh.setStoreFaults([
     {
       effect: FaultEffect.LoseAnswer,
@@ -141,13 +136,13 @@
   await mesh.setStoreFaults([]);
   assert.equal(code, 0, log);
   assert.match(output, new RegExp(`version ${version + 1}`));
-  assert.equal(await headVersion(), version + 1);
+  assert.equal(await readHeadVersion(mesh), version + 1);
   await mesh.waitInForce(version + 1);
 });
 
 test('a store outage accepts nothing and returning nodes never go back', async () => {
   // Guards against a node that serves an older version because the store cannot be asked.
-  const version = await headVersion();
+  const version = await readHeadVersion(mesh);
   await mesh.setStoreFaults([{ effect: FaultEffect.Refuse }]);
   const refused = await mesh.apply(withDeadline(1200));
   assert.equal(refused.code, 4, refused.log);
@@ -177,7 +172,7 @@
 
 test('a data centre whose nodes all restart in an outage waits for the store', async () => {
   // Guards against a floor taken from peers of one data centre, which may have been cut off.
-  const version = await headVersion();
+  const version = await readHeadVersion(mesh);
   await mesh.setStoreFaults([{ effect: FaultEffect.Refuse }]);
   const restarted = ['s1', 's2', 's3'];
   await Promise.all(restarted.map((id) => mesh.instance(id).node?.kill()));
--- a/packages/integration-tests/src/regions-apart.test.ts
+++ b/packages/integration-tests/src/regions-apart.test.ts
@@ -53,11 +53,21 @@
   );
 };
 
-const load = (service: string, runId: string, targets: readonly string[], durationS: number) =>
+/** A bad version gets under 5 % of the calls, of which the verdict needs a dozen failures in time. */
+const movedRatePerS = 80;
+const ratePerS = 30;
+
+const load = (
+  service: string,
+  runId: string,
+  targets: readonly string[],
+  durationS: number,
+  rate = ratePerS,
+) =>
   mesh.startLoad(
     [
       ...['--lookup', `GET /${service}/tabs/{n}`, '--request', `POST /${service}/settle/{n}`],
-      ...['--lookupPercent', '50', '--rate', '30', '--durationS', String(durationS)],
+      ...['--lookupPercent', '50', '--rate', String(rate), '--durationS', String(durationS)],
       ...['--deadlineMs', '2000', '--runId', runId],
     ],
     targets,
@@ -119,7 +129,7 @@
   const finishes = [
     load('shared', 'near', ['shared-1', 'moved-v1-1'], loadS),
     load('shared', 'far', idsOf(far), loadS),
-    load('moved', 'moved', ['moved-v1-1', 'moved-v1-2'], loadS),
+    load('moved', 'moved', ['moved-v1-1', 'moved-v1-2'], loadS, movedRatePerS),
   ];
   await delay(2000);
   await setCut(FaultMode.Cut);
@@ -139,6 +149,7 @@
     cutMs,
     async () => (await verdictOn('moved-v1-1')) === MoveVerdict.TakenBack,
   );
+  context.diagnostic(`verdict ${Math.round(performance.now() - cutAtMs)} ms after the cut`);
   await delay(Math.max(0, cutMs - (performance.now() - cutAtMs)));
   assert.deepEqual(new Set(await versions(idsOf(far))), new Set([1]), 'the cut does not cut');
   const nearVersions = await versions(staying.filter((id) => !idsOf(far).includes(id)));
--- a/packages/transport/src/bodies.test.ts
+++ b/packages/transport/src/bodies.test.ts
@@ -2,11 +2,11 @@
 import { setTimeout } from 'node:timers/promises';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { waitUntil } from '@sequoiafield/test-kit';
 import { LinkRequestKind } from '@sequoiafield/types';
 import { LinkClock } from './link-clock.js';
 import { makeOpen } from './test-support/raw-peer.js';
 import { answerWith, describeResult, readBody, TestNode } from './test-support/nodes.js';
-import { waitUntil } from './test-support/wait-until.js';
 
 const chunk = Buffer.alloc(16 * 1024, 1);
 
--- a/packages/transport/src/receiving.test.ts
+++ b/packages/transport/src/receiving.test.ts
@@ -1,14 +1,13 @@
 import assert from 'node:assert/strict';
 import { setTimeout } from 'node:timers/promises';
 import { test } from 'node:test';
-import { matchSnapshot } from '@sequoiafield/test-kit';
+import { matchSnapshot, waitUntil } from '@sequoiafield/test-kit';
 import { monotonicNowMs } from '@sequoiafield/tables';
 import { decodeRefusal } from './call-codec.js';
 import { AttemptVerdict, type AttemptGuard, type TransportMechanisms } from './index.js';
 import { FrameKind } from './frames.js';
 import { RawPeer, makeOpen, openFrames } from './test-support/raw-peer.js';
 import { answerWith, TestNode } from './test-support/nodes.js';
-import { waitUntil } from './test-support/wait-until.js';
 
 type Send = (first: RawPeer, second: RawPeer) => Promise<void> | void;
 
--- a/packages/transport/src/sending.test.ts
+++ b/packages/transport/src/sending.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { matchSnapshot } from '@sequoiafield/test-kit';
+import { matchSnapshot, waitUntil } from '@sequoiafield/test-kit';
 import { RefusalOutcome, RefusalReason } from '@sequoiafield/types';
 import { encodeAnswer, encodeRefusal } from './call-codec.js';
 import type { ExchangeMatcher } from './exchange-matcher.js';
@@ -8,7 +8,6 @@
 import type { TransportMechanisms } from './index.js';
 import { RawPeer, makeOpen } from './test-support/raw-peer.js';
 import { describeResult, TestNode } from './test-support/nodes.js';
-import { waitUntil } from './test-support/wait-until.js';
 
 const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 10 };
 const head = (id: number) =>
--- a/packages/transport/src/silent-link.test.ts
+++ b/packages/transport/src/silent-link.test.ts
@@ -1,11 +1,10 @@
 import assert from 'node:assert/strict';
 import { setTimeout } from 'node:timers/promises';
 import { test } from 'node:test';
-import { matchSnapshot } from '@sequoiafield/test-kit';
+import { matchSnapshot, waitUntil } from '@sequoiafield/test-kit';
 import type { MovePolicy } from './move-policy.js';
 import { makeOpen } from './test-support/raw-peer.js';
 import { answerWith, describeResult, TestNode } from './test-support/nodes.js';
-import { waitUntil } from './test-support/wait-until.js';
 import { Tap } from './test-support/tap.js';
 
 /** A third of the stall limit in use, so that the test is quick. */
