--- a/packages/integration-tests/src/moves-defects.test.ts
+++ b/packages/integration-tests/src/moves-defects.test.ts
@@ -5,7 +5,7 @@
 import { moveInstances, serviceFiles } from './configurations.js';
 import { changeVersion, failing } from './support/behaviour-changes.js';
 import { checkMove } from './support/move-checks.js';
-import { MoveWave, type MoveCell, type MoveRun } from './support/move-wave.js';
+import { startMoves, type MoveCell, type MoveRun } from './support/move-wave.js';
 
 const dataCentres = ['ath-1', 'ath-2'];
 /** Stage from which the version has 10 % and has been clean for some seconds. */
@@ -45,11 +45,7 @@
 const runs = new Map<string, Promise<MoveRun>>();
 
 before(async () => {
-  await mesh.start();
-  const { code, log } = await mesh.apply(files);
-  if (code !== 0) throw new Error(log);
-  await mesh.waitInForce(1);
-  const started = await new MoveWave(mesh, files, cells).start();
+  const started = await startMoves(mesh, files, cells);
   started.forEach((run, name) => runs.set(name, run));
 });
 
--- a/packages/integration-tests/src/moves-outage.test.ts
+++ b/packages/integration-tests/src/moves-outage.test.ts
@@ -1,4 +1,3 @@
-import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import { FaultEffect, LocalMesh } from '@sequoiafield/stand-ins';
 import { MoveVerdict } from '@sequoiafield/types';
@@ -6,7 +5,7 @@
 import { moveInstances, serviceFiles } from './configurations.js';
 import { changeVersion, failing } from './support/behaviour-changes.js';
 import { checkMove } from './support/move-checks.js';
-import { MoveWave, type MoveCell, type MoveRun } from './support/move-wave.js';
+import { startMoves, type MoveCell, type MoveRun } from './support/move-wave.js';
 
 const dataCentres = ['ath-1', 'ath-2'];
 
@@ -36,11 +35,7 @@
 const runs = new Map<string, MoveRun>();
 
 before(async () => {
-  await mesh.start();
-  const { code, log } = await mesh.apply(files);
-  assert.equal(code, 0, log);
-  await mesh.waitInForce(1);
-  const started = await new MoveWave(mesh, files, cells).start();
+  const started = await startMoves(mesh, files, cells);
   await mesh.waitInForce(2);
   await mesh.setStoreFaults([{ effect: FaultEffect.Refuse }]);
   for (const [name, run] of started) runs.set(name, await run);
--- a/packages/integration-tests/src/support/move-wave.ts
+++ b/packages/integration-tests/src/support/move-wave.ts
@@ -122,3 +122,21 @@
     ];
   }
 }
+
+/**
+ * Starts the mesh with its configuration and, once that is in force, one move for each cell.
+ *
+ * @example
+ * const runs = await startMoves(mesh, files, cells);
+ */
+export const startMoves = async (
+  mesh: LocalMesh,
+  files: ConfigurationFiles,
+  cells: readonly MoveCell[],
+): Promise<ReadonlyMap<string, Promise<MoveRun>>> => {
+  await mesh.start();
+  const { code, log } = await mesh.apply(files);
+  if (code !== 0) throw new Error(`The configuration was not accepted: ${log}`);
+  await mesh.waitInForce(1);
+  return new MoveWave(mesh, files, cells).start();
+};
