--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/node_modules/', 'dist/', 'bench-results/'] },
+  { ignores: ['**/node_modules/', 'dist/', 'target/', 'bench-results/'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- a/packages/bench/src/node-cost/fleet-generator.ts
+++ b/packages/bench/src/node-cost/fleet-generator.ts
@@ -144,6 +144,7 @@
       id: `member-${String(index).padStart(5, '0')}`,
       incarnation,
       announcedIncarnation: incarnation,
+      serverRevision: 0,
       refutation: 0,
       state: MemberState.Alive,
       configVersion: 0,
--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -1,21 +1,17 @@
 import type { ServerResponse } from 'node:http';
 import { BodyChannel } from '@sequoiafield/transport';
-import { outcomeHeader, reasonHeader, requestIdHeader } from '@sequoiafield/types';
 import type { CallAnswer, CallRefusal } from '@sequoiafield/types';
+import type { CallProtocol } from './call-protocol.js';
 import { bodilessStatuses } from './headers.js';
-import { statusOf } from './refusals.js';
-
-const flattenHeaders = (answer: CallAnswer, requestId: string): string[] => {
-  const headers: string[] = [requestIdHeader, requestId];
-  for (const [name, value] of answer.headers) headers.push(name, value);
-  return headers;
-};
 
 /** Writes results to a caller's connection. */
 export class AnswerWriter {
   constructor(
     private readonly response: ServerResponse,
     private readonly requestId: string,
+    private readonly protocol: CallProtocol,
+    /** Whether the caller shall use no connection of this node again. */
+    private readonly isClosing: () => boolean = () => false,
   ) {
     // Writing to a caller that has just gone away emits an error, which would end the process.
     response.on('error', () => undefined);
@@ -30,7 +26,7 @@
       return false;
     }
     const whole = body instanceof BodyChannel ? body.takeWhole() : undefined;
-    const headers = flattenHeaders(answer, this.requestId);
+    const headers = this.#headersOf(answer);
     if (whole) {
       // A length spares the caller the chunked coding.
       if (this.#needsLength(answer)) headers.push('content-length', String(whole.byteLength));
@@ -55,23 +51,22 @@
     if (response.destroyed || response.headersSent) return;
     const { outcome, reason, detail } = refusal;
     const body = Buffer.from(JSON.stringify({ outcome, reason, detail, requestId }));
-    const headers = [
-      requestIdHeader,
-      requestId,
-      outcomeHeader,
-      outcome,
-      reasonHeader,
-      reason,
-      'content-type',
-      'application/json',
-      'content-length',
-      String(body.byteLength),
-    ];
-    if (isClosing) headers.push('connection', 'close');
-    response.writeHead(statusOf(refusal), headers);
+    const head = this.protocol.refusalHead(refusal);
+    const headers = [this.protocol.requestIdHeader, requestId];
+    for (const [name, value] of head.headers) headers.push(name, value);
+    headers.push('content-type', 'application/json', 'content-length', String(body.byteLength));
+    if (isClosing || this.isClosing()) headers.push('connection', 'close');
+    response.writeHead(head.status, headers);
     response.end(response.req.method === 'HEAD' ? undefined : body);
   }
 
+  #headersOf(answer: CallAnswer): string[] {
+    const headers = [this.protocol.requestIdHeader, this.requestId];
+    for (const [name, value] of answer.headers) headers.push(name, value);
+    if (this.isClosing()) headers.push('connection', 'close');
+    return headers;
+  }
+
   #needsLength(answer: CallAnswer): boolean {
     if (this.response.req.method === 'HEAD' || bodilessStatuses.has(answer.status)) return false;
     return !answer.headers.some(([name]) => name === 'content-length');
--- a/packages/calls/src/backend-client.ts
+++ b/packages/calls/src/backend-client.ts
@@ -1,6 +1,6 @@
 import type { CallOpen, CallRefusal, CancelSignal } from '@sequoiafield/types';
 import type { BodyChannel } from '@sequoiafield/transport';
-import type { HeaderPair } from './headers.js';
+import type { HeaderPair } from './call-protocol.js';
 
 /** Head and body of a backend server's answer. */
 export interface BackendAnswer {
@@ -20,6 +20,10 @@
   readonly hasFailed: boolean;
   /** False if nothing was sent or the backend server refused it as not run. */
   readonly hasRun: boolean;
+  /** The backend server refused it as not run. */
+  readonly wasShed: boolean;
+  /** Status of the answer; 0 if there was none. */
+  readonly status: number;
 }
 
 /** Sends requests to the backend server beside this node. */
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -1,28 +1,29 @@
 import { CallError } from '@sequoiafield/errors';
 import { BodyChannel, type BodyChannelOwner } from '@sequoiafield/transport';
 import { monotonicNowMs } from '@sequoiafield/tables';
-import { RefusalReason } from '@sequoiafield/types';
+import { RefusalReason, type CallOpen, type CallRefusal } from '@sequoiafield/types';
 import type { Dispatcher } from 'undici';
 import type { BackendEnd, BackendResult } from './backend-client.js';
-import {
-  backendRefusedHeader,
-  backendRefusedNotRun,
-  bodilessStatuses,
-  findHeader,
-  forwardAnswerHeaders,
-  readKeepAliveMs,
-} from './headers.js';
+import { AnswerMeaning, type CallProtocol, type HeaderPair } from './call-protocol.js';
+import { bodilessStatuses, forwardHeaders, pairHeaders, readKeepAliveMs } from './headers.js';
 import type { FailureClassifier } from './failure-classifier.js';
 import { notRun } from './refusals.js';
 
 /** Bytes of an answer that wait for the caller before the backend server is paused. */
 const bufferMaxBytes = 256 * 1024;
-const statusUnavailable = 503;
 const statusServerError = 500;
 
 const readRaw = (raw: readonly (Buffer | string)[]): string[] =>
   raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
 
+/** Rules of an exchange that are the same for all requests. */
+export interface ExchangeRules {
+  readonly classifier: FailureClassifier;
+  readonly protocol: CallProtocol;
+  /** Answers up to this size are read to their end before they are handed on. */
+  readonly wholeAnswerMaxBytes: number;
+}
+
 /** One request on a connection to the backend server, as a handler of `undici`'s dispatch. */
 export class BackendExchange implements Dispatcher.DispatchHandler, BodyChannelOwner {
   readonly result: Promise<BackendResult>;
@@ -57,10 +58,16 @@
 
   #abortReason: RefusalReason | undefined;
 
+  #headers: readonly HeaderPair[] = [];
+
+  #isHandedOver = false;
+
+  /** Whether the end of the answer shows by its length or chunks. */
+  #isDelimited = true;
+
   constructor(
-    private readonly isIdempotent: boolean,
-    private readonly hasBody: boolean,
-    private readonly classifier: FailureClassifier,
+    private readonly open: CallOpen,
+    private readonly rules: ExchangeRules,
   ) {
     this.result = new Promise((resolve) => {
       this.#resolve = resolve;
@@ -98,7 +105,7 @@
     this.#controller = controller;
     if (this.#abortReason !== undefined) {
       controller.abort(new CallError('The call was cancelled before it was written'));
-    } else if (this.#wasWritten && !this.isIdempotent) {
+    } else if (this.#wasWritten && !this.open.isIdempotent) {
       controller.abort(new CallError('A non-idempotent request is never written twice'));
     } else {
       this.#wasWritten = true;
@@ -109,49 +116,60 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200) return;
     const raw = readRaw((controller.rawHeaders ?? []) as (Buffer | string)[]);
-    const names = raw.filter((_, at) => at % 2 === 0).map((name) => name.toLowerCase());
-    const isDelimited = names.includes('content-length') || names.includes('transfer-encoding');
-    if (this.hasBody && !isDelimited && !bodilessStatuses.has(status)) {
+    const headers = pairHeaders(raw);
+    const { protocol } = this.rules;
+    const meaning = protocol.meaningOf(this.open.requestId, { status, headers });
+    if (meaning === AnswerMeaning.Foreign) {
+      controller.abort(new CallError('The answer belongs to another request'));
+      return;
+    }
+    const names = headers.map(([name]) => name);
+    this.#isDelimited = names.includes('content-length') || names.includes('transfer-encoding');
+    const hasBody = this.open.method !== 'HEAD' && !bodilessStatuses.has(status);
+    if (hasBody && !this.#isDelimited && !protocol.acceptsAnswersWithoutLength) {
       // The end of such a body is the end of the connection, so that a cut looks like an end.
       controller.abort(new CallError('The answer has neither a length nor chunks'));
       return;
     }
     this.#status = status;
     this.#advertisedMs = readKeepAliveMs(raw);
-    if (status === statusUnavailable && this.#isNotRun(raw)) {
-      this.#isRefused = true;
-      const detail = 'the backend server refused the request';
-      const refusal = notRun(RefusalReason.BackendServerRefused, detail);
-      this.#resolve({ kind: 'refusal', refusal });
+    if (meaning !== AnswerMeaning.Answer) {
+      this.#refuse(meaning);
       return;
     }
     this.#body = new BodyChannel(this);
-    const headers = forwardAnswerHeaders(raw);
-    this.#resolve({ kind: 'answer', answer: { status, headers, body: this.#body } });
+    this.#headers = forwardHeaders(raw, protocol.ownAnswerHeaders);
+    if (this.rules.wholeAnswerMaxBytes === 0) this.#handOver();
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (!this.#body) return;
     this.#bufferedBytes += chunk.byteLength;
     this.#body.push(chunk);
+    if (!this.#isHandedOver) {
+      if (this.#bufferedBytes <= this.rules.wholeAnswerMaxBytes) return;
+      if (this.#isDelimited) this.#handOver();
+      else controller.abort(new CallError('The answer without a length is too large'));
+    }
     if (this.#bufferedBytes > bufferMaxBytes) controller.pause();
   }
 
   onResponseEnd(): void {
     this.#body?.end();
+    if (this.#body && !this.#isHandedOver) this.#handOver();
     this.#keepAliveMs = this.#advertisedMs;
     this.#end(this.#status >= statusServerError && !this.#isRefused);
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
     const detail = `the request to the backend server failed: ${error.message}`;
-    if (this.#body) this.#body.fail(new CallError(detail, { cause: error }));
+    if (this.#isHandedOver) this.#body?.fail(new CallError(detail, { cause: error }));
     else if (!this.#isRefused) {
       const failure = this.#wasWritten
         ? RefusalReason.BackendServerFailed
         : RefusalReason.ConnectFailed;
       const reason = this.#abortReason ?? failure;
-      const refusal = this.classifier.classify(this.#wasWritten, reason, detail);
+      const refusal = this.rules.classifier.classify(this.#wasWritten, reason, detail);
       this.#resolve({ kind: 'refusal', refusal });
     }
     this.#end(!this.#isRefused);
@@ -166,17 +184,31 @@
     this.abort(RefusalReason.Cancelled);
   }
 
-  #isNotRun(raw: readonly string[]): boolean {
-    const pairs = raw.flatMap((name, at) =>
-      at % 2 === 0 ? [[name.toLowerCase(), raw[at + 1] ?? ''] as const] : [],
-    );
-    return findHeader(pairs, backendRefusedHeader) === backendRefusedNotRun;
+  #handOver(): void {
+    if (!this.#body) return;
+    this.#isHandedOver = true;
+    const answer = { status: this.#status, headers: this.#headers, body: this.#body };
+    this.#resolve({ kind: 'answer', answer });
+  }
+
+  #refuse(meaning: AnswerMeaning.NotRun | AnswerMeaning.WrongServer): void {
+    this.#isRefused = true;
+    const refusal: CallRefusal =
+      meaning === AnswerMeaning.NotRun
+        ? notRun(RefusalReason.BackendServerRefused, 'the backend server refused the request')
+        : notRun(RefusalReason.WrongServer, 'another server has the address');
+    this.#resolve({ kind: 'refusal', refusal });
   }
 
   #end(hasFailed: boolean): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    this.#onEnd({ hasFailed, hasRun: this.#wasWritten && !this.#isRefused });
+    this.#onEnd({
+      hasFailed,
+      hasRun: this.#wasWritten && !this.#isRefused,
+      wasShed: this.#isRefused,
+      status: this.#status,
+    });
     this.#onReleased();
   }
 }
--- a/packages/calls/src/call-path-options.ts
+++ b/packages/calls/src/call-path-options.ts
@@ -3,12 +3,15 @@
 import type { AttemptSequence } from '@sequoiafield/transport';
 import type {
   CallSender,
+  ClientLimits,
   EvidenceRecorder,
   MemberAnnouncement,
   RolloutView,
   Router,
   SnapshotView,
 } from '@sequoiafield/types';
+import type { CallEnd } from './call-end.js';
+import type { CallProtocol } from './call-protocol.js';
 import type { BackendCallReceiver } from './call-receiver.js';
 import type { RetryPolicy } from './retry-policy.js';
 
@@ -16,7 +19,9 @@
 export interface CallPathOptions {
   /** This node; `callPort` 0 lets the system choose a port. */
   readonly self: MemberAnnouncement;
-  readonly snapshots: SnapshotView;
+  readonly snapshots: Pick<SnapshotView, 'isServing'> & {
+    current(): { readonly configVersion: number } | undefined;
+  };
   readonly router: Router;
   readonly rollout: RolloutView;
   readonly evidence: EvidenceRecorder;
@@ -29,4 +34,12 @@
   readonly logger: Logger;
   /** `SafeRetryPolicy` unless a test replaces it. */
   readonly retryPolicy?: RetryPolicy;
+  /** `OwnCallProtocol` unless given. */
+  readonly protocol?: CallProtocol;
+  /** Limits of callers' connections; the defaults of this package while they are unknown. */
+  readonly clientLimits?: () => ClientLimits | undefined;
+  /** Service of the machine at which calls begin; empty if unknown. */
+  readonly callerService?: () => string;
+  /** Told how each call ended. */
+  readonly onEnded?: (end: CallEnd) => void;
 }
--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -7,24 +7,28 @@
   RefusalReason,
   type CallRefusal,
   type CallResult,
+  type ClientLimits,
   type RouteMatch,
   RefusalOutcome,
 } from '@sequoiafield/types';
 import { fastify, type FastifyInstance } from 'fastify';
 import { AnswerWriter } from './answer-writer.js';
 import type { CallPathOptions } from './call-path-options.js';
-import { CallRun } from './call-run.js';
+import { CallRun, type InboundCall } from './call-run.js';
 import { CallScope } from './call-scope.js';
 import type { CallCounters } from './counters.js';
-import { forwardRequestHeaders } from './headers.js';
+import { OwnCallProtocol, type CallProtocol } from './call-protocol.js';
+import { forwardHeaders } from './headers.js';
 import { pathOf, readDeadlineMs, readRequestId } from './inbound-call.js';
-import { notRun, refused } from './refusals.js';
+import { notRun, refused, statusOf } from './refusals.js';
 import { RequestBodyReader, type RequestBody } from './request-body.js';
 import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
 import { RunningCalls } from './running-calls.js';
 
 /** Idle time after which a caller's connection is closed; longer than common client limits. */
 const keepAliveTimeoutMs = 75_000;
+/** How much later than callers may use an idle connection this side closes it. */
+const idleCloseMarginMs = 1000;
 
 /** Accepts calls over HTTP and carries each to a backend server and back. */
 export class CallPath {
@@ -36,13 +40,18 @@
 
   readonly #running = new RunningCalls();
 
+  readonly #protocol: CallProtocol;
+
   #isDraining = false;
 
+  #isClosing = false;
+
   #lastRequest = 0;
 
   constructor(private readonly options: CallPathOptions) {
     this.counters = options.receiver.counters;
     this.#policy = options.retryPolicy ?? new SafeRetryPolicy();
+    this.#protocol = options.protocol ?? new OwnCallProtocol();
     this.#server = fastify({
       logger: false,
       keepAliveTimeout: keepAliveTimeoutMs,
@@ -88,6 +97,24 @@
     await this.#server.close();
   }
 
+  /** Calls that run now. */
+  get runningCount(): number {
+    return this.#running.size;
+  }
+
+  /** Serves on, and asks each caller to use no connection of this node again. */
+  startClosing(): void {
+    this.#isClosing = true;
+  }
+
+  /** Takes over limits of callers' connections that changed. */
+  applyLimits(limits: ClientLimits): void {
+    const { server } = this.#server;
+    server.headersTimeout = limits.headerTimeoutMs;
+    // A caller may use a connection again for most of the idle time, so that this side closes later.
+    server.keepAliveTimeout = limits.idleTimeoutMs + idleCloseMarginMs;
+  }
+
   /** Ends at once; running calls are cut. */
   async stop(): Promise<void> {
     this.#server.server.closeAllConnections();
@@ -115,14 +142,15 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const requestId = readRequestId(request) ?? this.#nextRequestId();
+    const requestId = readRequestId(request, this.#protocol) ?? this.#nextRequestId();
     const finish = this.#running.begin(requestId);
     const scope = new CallScope();
     response.on('close', () => {
       scope.end(response.writableFinished);
       finish();
     });
-    const writer = new AnswerWriter(response, requestId);
+    const isClosing = (): boolean => this.#isClosing;
+    const writer = new AnswerWriter(response, requestId, this.#protocol, isClosing);
     const result = await this.#carry(request, requestId, scope);
     await this.#write(result, writer, !request.complete);
   }
@@ -130,11 +158,12 @@
   async #carry(request: IncomingMessage, requestId: string, scope: CallScope): Promise<CallResult> {
     const method = request.method ?? 'GET';
     const path = request.url ?? '/';
-    const match = this.options.router.match(method, pathOf(path));
+    const host = request.headers.host ?? '';
+    const match = this.options.router.match(method, pathOf(path), host);
     const refusal = this.#check(request, requestId, match);
     if (refusal) return refused(refusal);
     if (!match) return refused(notRun(RefusalReason.NoRoute, `no route for ${method} ${path}`));
-    const deadlineMs = readDeadlineMs(request, match.route.deadlineMs);
+    const deadlineMs = readDeadlineMs(request, match.route.deadlineMs, this.#protocol);
     if (deadlineMs <= 0) {
       return refused(notRun(RefusalReason.DeadlinePassed, 'the caller waits no longer'));
     }
@@ -142,16 +171,39 @@
     scope.startDeadline(deadlineAtMs);
     let body: RequestBody;
     try {
-      body = await new RequestBodyReader(request, bodyMaxBytes).read(scope.signal);
+      body = await new RequestBodyReader(request, this.#bodyMaxBytes()).read(scope.signal);
     } catch {
       const detail = 'the request body did not arrive in time';
       return refused(notRun(RefusalReason.DeadlinePassed, detail));
     }
-    const headers = forwardRequestHeaders(request.rawHeaders);
+    const headers = forwardHeaders(request.rawHeaders, this.#protocol.ownRequestHeaders);
     const configVersion = this.options.snapshots.current()?.configVersion ?? 0;
     const call = { requestId, match, method, path, headers, body, configVersion, deadlineAtMs };
     this.counters.callsStarted += 1;
-    return new CallRun(call, this.options, this.#policy, this.counters, scope.signal).run();
+    const run = new CallRun(call, this.options, this.#policy, this.counters, scope.signal);
+    const startedAtMs = monotonicNowMs();
+    const result = await run.run();
+    this.#reportEnd(call, run, result, monotonicNowMs() - startedAtMs);
+    return result;
+  }
+
+  #reportEnd(call: InboundCall, run: CallRun, result: CallResult, tookMs: number): void {
+    const refusal = result.kind === 'refusal' ? result.refusal : undefined;
+    this.options.onEnded?.({
+      requestId: call.requestId,
+      route: call.match.route.name,
+      service: call.match.service.name,
+      status: result.kind === 'answer' ? result.answer.status : statusOf(result.refusal),
+      memberIds: run.memberIds,
+      sentToServers: run.sentToServers,
+      configVersion: call.configVersion,
+      tookMs,
+      refusal,
+    });
+  }
+
+  #bodyMaxBytes(): number {
+    return this.options.clientLimits?.()?.bodyMaxBytes ?? bodyMaxBytes;
   }
 
   #check(
@@ -165,8 +217,8 @@
     if (!this.options.snapshots.isServing()) {
       return notRun(RefusalReason.NotReady, 'the node holds no current configuration');
     }
-    if (match && Number(request.headers['content-length'] ?? 0) > bodyMaxBytes) {
-      return notRun(RefusalReason.BodyTooLarge, `the body exceeds ${bodyMaxBytes} bytes`);
+    if (match && Number(request.headers['content-length'] ?? 0) > this.#bodyMaxBytes()) {
+      return notRun(RefusalReason.BodyTooLarge, `the body exceeds ${this.#bodyMaxBytes()} bytes`);
     }
     return undefined;
   }
--- /dev/null
+++ b/packages/calls/src/call-protocol.ts
@@ -0,0 +1,120 @@
+import {
+  deadlineHeader,
+  outcomeHeader,
+  reasonHeader,
+  requestIdHeader,
+  type CallOpen,
+  type CallRefusal,
+} from '@sequoiafield/types';
+import { statusOf } from './refusals.js';
+
+/** Header and its value as they travel between nodes. */
+export type HeaderPair = readonly [string, string];
+
+/** Status and headers of a refusal as its caller reads them. */
+export interface RefusalHead {
+  readonly status: number;
+  readonly headers: readonly HeaderPair[];
+}
+
+/** Head of a backend server's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Names in lower case. */
+  readonly headers: readonly HeaderPair[];
+}
+
+/** What the head of an answer says about the request that it came for. */
+export enum AnswerMeaning {
+  /** It is the answer to the request. */
+  Answer = 'answer',
+  /** The backend server says that it did not run the request. */
+  NotRun = 'not-run',
+  /** The request named another server than the one at this address, and did not run. */
+  WrongServer = 'wrong-server',
+  /** It belongs to another request or is no answer of a backend server. */
+  Foreign = 'foreign',
+}
+
+/** Headers with which callers, nodes and backend servers talk about a call. */
+export interface CallProtocol {
+  readonly requestIdHeader: string;
+  /** Time that the caller still waits, in ms. */
+  readonly deadlineHeader: string;
+  /** Request headers that only nodes set; a caller's values are dropped. */
+  readonly ownRequestHeaders: ReadonlySet<string>;
+  /** Answer headers that only nodes set; a backend server's values are dropped. */
+  readonly ownAnswerHeaders: ReadonlySet<string>;
+  /** Whether an answer without a length is whole after an orderly end of its connection. */
+  readonly acceptsAnswersWithoutLength: boolean;
+  /** Headers that the node beside the backend server adds; `serverId` is empty if it is unknown. */
+  backendHeaders(open: CallOpen, remainingMs: number, serverId: string): readonly HeaderPair[];
+  meaningOf(requestId: string, head: AnswerHead): AnswerMeaning;
+  refusalHead(refusal: CallRefusal): RefusalHead;
+}
+
+/** Header with which a backend server says that it did not run a request. */
+export const backendRefusedHeader = 'x-backend-refused';
+/** Value of `backendRefusedHeader`; anything else says nothing. */
+export const backendRefusedNotRun = 'not-run';
+
+const statusUnavailable = 503;
+
+/** Value of a header, or undefined. */
+export const findHeader = (pairs: readonly HeaderPair[], name: string): string | undefined =>
+  pairs.find(([other]) => other === name)?.[1];
+
+/**
+ * The project's own headers.
+ *
+ * @example
+ * const protocol = new OwnCallProtocol();
+ * protocol.refusalHead(refusal).status;
+ */
+export class OwnCallProtocol implements CallProtocol {
+  readonly requestIdHeader = requestIdHeader;
+
+  readonly deadlineHeader = deadlineHeader;
+
+  readonly acceptsAnswersWithoutLength = false;
+
+  readonly ownRequestHeaders: ReadonlySet<string> = new Set([
+    deadlineHeader,
+    requestIdHeader,
+    'host',
+    'expect',
+  ]);
+
+  /**
+   * A backend server that passes on a refusal of its own upstream must not make this node's caller
+   * believe that its request did not run.
+   */
+  readonly ownAnswerHeaders: ReadonlySet<string> = new Set([
+    outcomeHeader,
+    reasonHeader,
+    requestIdHeader,
+    backendRefusedHeader,
+  ]);
+
+  backendHeaders(open: CallOpen, remainingMs: number): readonly HeaderPair[] {
+    return [
+      [deadlineHeader, String(Math.max(1, Math.floor(remainingMs)))],
+      [requestIdHeader, open.requestId],
+    ];
+  }
+
+  meaningOf(_requestId: string, { status, headers }: AnswerHead): AnswerMeaning {
+    const isNotRun = findHeader(headers, backendRefusedHeader) === backendRefusedNotRun;
+    return status === statusUnavailable && isNotRun ? AnswerMeaning.NotRun : AnswerMeaning.Answer;
+  }
+
+  refusalHead(refusal: CallRefusal): RefusalHead {
+    return {
+      status: statusOf(refusal),
+      headers: [
+        [outcomeHeader, refusal.outcome],
+        [reasonHeader, refusal.reason],
+      ],
+    };
+  }
+}
--- a/packages/calls/src/call-receiver.ts
+++ b/packages/calls/src/call-receiver.ts
@@ -27,6 +27,8 @@
   readonly evidence: EvidenceRecorder;
   readonly backend: BackendClient;
   readonly counters?: CallCounters;
+  /** Told why the backend server took no request: no connection, another server, or overload. */
+  readonly onBackendRefusal?: (reason: RefusalReason) => void;
 }
 
 /**
@@ -123,6 +125,7 @@
     };
     const result = await this.options.backend.send(open, remainingMs, body, signal, onEnd);
     if (result.kind === 'refusal') {
+      this.options.onBackendRefusal?.(result.refusal.reason);
       const isLate = open.deadlineAtMs <= monotonicNowMs();
       return this.#refuse(isLate ? this.#asLate(result.refusal) : result.refusal);
     }
@@ -165,9 +168,12 @@
     const isCallersChoice = isCancelled && nowMs < open.deadlineAtMs;
     const hasFailed = end.hasFailed && !isCallersChoice;
     if (hasFailed) this.counters.backendFailures += 1;
-    permit.release({ hasFailed, latencyMs });
+    permit.release({ hasFailed, latencyMs, wasShed: end.wasShed });
     if (!end.hasRun || isCallersChoice) return;
     const { service, route, backendVersion } = open;
-    this.options.evidence.recordEnded({ service, route, backendVersion, hasFailed, latencyMs });
+    this.options.evidence.recordEnded({
+      ...{ service, route, backendVersion, hasFailed, latencyMs },
+      status: end.status,
+    });
   }
 }
--- a/packages/calls/src/call-run.ts
+++ b/packages/calls/src/call-run.ts
@@ -13,7 +13,8 @@
 import { BodyChannel } from '@sequoiafield/transport';
 import type { CallPathOptions } from './call-path-options.js';
 import type { CallCounters } from './counters.js';
-import type { HeaderPair } from './headers.js';
+import type { HeaderPair } from './call-protocol.js';
+import { hasReachedServer } from './reached-server-retry-policy.js';
 import { notRun, refused, unknownOutcome } from './refusals.js';
 import type { RequestBody } from './request-body.js';
 import type { RetryPolicy } from './retry-policy.js';
@@ -40,6 +41,11 @@
 
   readonly #refusedVersions = new Set<string>();
 
+  #sentToServers = 0;
+
+  /** Failed answer of an idempotent call that another backend server is asked for. */
+  #failedAnswer: CallAnswer | undefined;
+
   #attempts = 0;
 
   #unknown: CallRefusal | undefined;
@@ -58,14 +64,52 @@
     this.options.router.recordFirstAttempt(match.service.name);
     for (;;) {
       const result = await this.#attempt();
-      if (result.kind === 'answer') return result;
-      const { refusal } = result;
-      if (refusal.outcome === RefusalOutcome.Unknown) this.#unknown = refusal;
-      if (!this.#mayRetry(refusal)) return refused(this.#unknown ?? refusal);
+      if (result.kind === 'answer') {
+        this.#sentToServers += 1;
+        if (!this.#mayRepeat(result.answer)) return result;
+        this.#failedAnswer = result.answer;
+      } else {
+        const { refusal } = result;
+        if (hasReachedServer(refusal.outcome, refusal.reason)) this.#sentToServers += 1;
+        if (refusal.outcome === RefusalOutcome.Unknown) this.#unknown = refusal;
+        if (!this.#mayRetry(refusal)) return this.#giveUp(refusal);
+      }
       this.counters.retries += 1;
     }
   }
 
+  /** Ids of the members that were asked. */
+  get memberIds(): readonly string[] {
+    return [...this.#tried];
+  }
+
+  get sentToServers(): number {
+    return this.#sentToServers;
+  }
+
+  #giveUp(refusal: CallRefusal): CallResult {
+    if (this.#failedAnswer) return { kind: 'answer', answer: this.#failedAnswer };
+    return refused(this.#unknown ?? refusal);
+  }
+
+  #mayRepeat(answer: CallAnswer): boolean {
+    const { match, body, deadlineAtMs } = this.call;
+    if (this.signal.aborted || deadlineAtMs <= monotonicNowMs()) return false;
+    return this.policy.mayRepeat({
+      route: match.route,
+      status: answer.status,
+      attemptsSoFar: this.#attempts,
+      sentToServers: this.#sentToServers,
+      isReplayable: !(body instanceof BodyChannel),
+      takeBudget: () => this.#takeBudget(),
+    });
+  }
+
+  #takeBudget(): boolean {
+    const { route, service } = this.call.match;
+    return this.options.router.takeRetry(service.name, route.retryBudgetPercent);
+  }
+
   #mayRetry(refusal: CallRefusal): boolean {
     const { match, body, deadlineAtMs } = this.call;
     if (this.signal.aborted || deadlineAtMs <= monotonicNowMs()) return false;
@@ -75,9 +119,9 @@
       route: match.route,
       refusal,
       attemptsSoFar: this.#attempts,
+      sentToServers: this.#sentToServers,
       isReplayable: !(body instanceof BodyChannel),
-      takeBudget: () =>
-        this.options.router.takeRetry(match.service.name, match.route.retryBudgetPercent),
+      takeBudget: () => this.#takeBudget(),
     });
   }
 
@@ -124,6 +168,7 @@
         receiverIncarnation: member.incarnation,
       },
       service: service.name,
+      callerService: options.callerService?.() ?? '',
       route: route.name,
       backendVersion,
       configVersion: call.configVersion,
--- a/packages/calls/src/inbound-call.ts
+++ b/packages/calls/src/inbound-call.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { deadlineHeader, requestIdHeader } from '@sequoiafield/types';
+import type { CallProtocol } from './call-protocol.js';
 
 /** Largest deadline that a caller may ask for; attempt ids are kept for as long. */
 const deadlineMaxMs = 5 * 60 * 1000;
@@ -9,18 +9,25 @@
  * is not a number is ignored.
  *
  * @example
- * const deadlineMs = readDeadlineMs(request, route.deadlineMs);
+ * const deadlineMs = readDeadlineMs(request, route.deadlineMs, protocol);
  */
-export const readDeadlineMs = (request: IncomingMessage, routeDeadlineMs: number): number => {
-  const header = request.headers[deadlineHeader];
+export const readDeadlineMs = (
+  request: IncomingMessage,
+  routeDeadlineMs: number,
+  protocol: CallProtocol,
+): number => {
+  const header = request.headers[protocol.deadlineHeader];
   const waitsMs = typeof header === 'string' && header.trim() !== '' ? Number(header) : NaN;
   const limitMs = Math.min(routeDeadlineMs, deadlineMaxMs);
   return Number.isFinite(waitsMs) ? Math.min(waitsMs, limitMs) : limitMs;
 };
 
 /** Request id of the caller, or undefined. */
-export const readRequestId = (request: IncomingMessage): string | undefined => {
-  const header = request.headers[requestIdHeader];
+export const readRequestId = (
+  request: IncomingMessage,
+  protocol: CallProtocol,
+): string | undefined => {
+  const header = request.headers[protocol.requestIdHeader];
   return typeof header === 'string' && header !== '' ? header : undefined;
 };
 
--- /dev/null
+++ b/packages/calls/src/reached-server-retry-policy.ts
@@ -0,0 +1,52 @@
+import { RefusalOutcome, RefusalReason } from '@sequoiafield/types';
+import type { AnswerQuestion, RetryPolicy, RetryQuestion } from './retry-policy.js';
+
+/** Members asked for one call at most; each that refuses costs one round trip between nodes. */
+const placementsMax = 6;
+
+/** Another member would refuse too, or nobody waits any more. */
+const finalReasons: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.BodyTooLarge,
+  RefusalReason.Cancelled,
+  RefusalReason.DeadlinePassed,
+  RefusalReason.NoBackendServer,
+  RefusalReason.NoRoute,
+]);
+
+/** Refusals of requests that reached a backend server although they did not run. */
+const reachedReasons: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.BackendServerRefused,
+  RefusalReason.WrongServer,
+]);
+
+const statusServerError = 500;
+
+/** Whether a refused attempt was handed to a backend server, or may have been. */
+export const hasReachedServer = (outcome: RefusalOutcome, reason: RefusalReason): boolean =>
+  outcome === RefusalOutcome.Unknown || reachedReasons.has(reason);
+
+/**
+ * Only an attempt that reached a backend server takes from the budget and counts towards the route's
+ * attempts; what a node refuses by itself costs the servers nothing.
+ *
+ * @example
+ * createCallPath({ ...options, retryPolicy: new ReachedServerRetryPolicy() });
+ */
+export class ReachedServerRetryPolicy implements RetryPolicy {
+  mayRetry(question: RetryQuestion): boolean {
+    const { route, refusal, sentToServers } = question;
+    if (!question.isReplayable || question.attemptsSoFar >= placementsMax) return false;
+    if (finalReasons.has(refusal.reason)) return false;
+    const isNotRun = refusal.outcome === RefusalOutcome.NotRun;
+    if (!isNotRun && !route.isIdempotent) return false;
+    // A request that reached a server before is a repeat at the next one, whoever refused it last.
+    if (sentToServers === 0) return true;
+    return sentToServers < (route.attemptsMax ?? 1) && question.takeBudget();
+  }
+
+  mayRepeat(question: AnswerQuestion): boolean {
+    const { route, status, sentToServers } = question;
+    if (status < statusServerError || !route.isIdempotent || !question.isReplayable) return false;
+    return sentToServers < (route.attemptsMax ?? 1) && question.takeBudget();
+  }
+}
--- a/packages/calls/src/refusals.test.ts
+++ b/packages/calls/src/refusals.test.ts
@@ -117,7 +117,8 @@
 test('retrying in doubt is seen as a doubled run', async (t) => {
   // Shows that the table above notices a retry policy that ignores the outcome.
   const retryPolicy = {
-    mayRetry: ({ attemptsSoFar }: { attemptsSoFar: number }) => attemptsSoFar < 3,
+    mayRepeat: () => false,
+      mayRetry: ({ attemptsSoFar }: { attemptsSoFar: number }) => attemptsSoFar < 3,
   };
   const seen = await callOnce(t, { path: '/drop' }, 'POST', { retryPolicy });
   assert.equal(seen.runs, 3);
--- a/packages/calls/src/retry-policy.ts
+++ b/packages/calls/src/retry-policy.ts
@@ -1,24 +1,33 @@
 import {
   RefusalOutcome,
   RefusalReason,
+  type CalledRoute,
   type CallRefusal,
-  type RouteIntent,
 } from '@sequoiafield/types';
 
 /** State of a call after an attempt was refused. */
 export interface RetryQuestion {
-  readonly route: RouteIntent;
+  readonly route: CalledRoute;
   readonly refusal: CallRefusal;
   readonly attemptsSoFar: number;
+  /** Attempts that reached a backend server, or may have. */
+  readonly sentToServers: number;
   /** Whether the body of the request can be sent again. */
   readonly isReplayable: boolean;
   /** Takes one retry from the service's budget. */
   takeBudget(): boolean;
 }
 
+/** State of a call after a backend server answered. */
+export interface AnswerQuestion extends Omit<RetryQuestion, 'refusal'> {
+  readonly status: number;
+}
+
 /** Decides whether a refused attempt is followed by another; tests replace it. */
 export interface RetryPolicy {
   mayRetry(question: RetryQuestion): boolean;
+  /** Whether another backend server is asked although one answered. */
+  mayRepeat(question: AnswerQuestion): boolean;
 }
 
 /** Attempts of one call at most, so that one call cannot walk through a whole service. */
@@ -58,4 +67,8 @@
     if (!isNotRun && !route.isIdempotent) return false;
     return (isNotRun && budgetFreeReasons.has(refusal.reason)) || question.takeBudget();
   }
+
+  mayRepeat(): boolean {
+    return false;
+  }
 }
--- a/packages/calls/src/test-support/rig.ts
+++ b/packages/calls/src/test-support/rig.ts
@@ -174,7 +174,6 @@
       snapshots: {
         current: () => undefined,
         isServing: () => this.#isServing,
-        want: () => undefined,
       },
       router: {
         match: (method, path) =>
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -5,7 +5,7 @@
 import type { BackendClient, BackendEnd, BackendResult } from './backend-client.js';
 import { BackendExchange } from './backend-exchange.js';
 import { WrittenClassifier, type FailureClassifier } from './failure-classifier.js';
-import { backendRequestHeaders } from './headers.js';
+import { OwnCallProtocol, type CallProtocol } from './call-protocol.js';
 import { ProvenConnections } from './proven-connections.js';
 
 /** Idle time after which this side drops a kept-alive connection, well under common server limits. */
@@ -32,8 +32,38 @@
    * any kept-alive connection is used, by which tests show the lost requests that the rule prevents.
    */
   readonly usesFreshConnections?: boolean;
+  /** `OwnCallProtocol` unless given. */
+  readonly protocol?: CallProtocol;
+  /** Id of the server that requests are meant for; empty if unknown. */
+  readonly serverId?: () => string;
+  /** Answers up to this size are read to their end before they are handed on; 0 by default. */
+  readonly wholeAnswerMaxBytes?: number;
+  /**
+   * Lets a non-idempotent request that was written run to its end although its caller left. Breaking
+   * it off would leave its outcome in doubt. False by default.
+   */
+  readonly finishesNonIdempotent?: boolean;
 }
 
+/** Headers of the request to the backend server, names and values in turn. */
+const requestHeaders = (
+  protocol: CallProtocol,
+  open: CallOpen,
+  remainingMs: number,
+  serverId: string,
+  isWhole: boolean,
+): string[] => {
+  const headers: string[] = [];
+  for (const [name, value] of protocol.backendHeaders(open, remainingMs, serverId)) {
+    headers.push(name, value);
+  }
+  for (const [name, value] of open.headers) {
+    // The HTTP client sets the length of a body that is held as a whole.
+    if (!isWhole || name !== 'content-length') headers.push(name, value);
+  }
+  return headers;
+};
+
 /**
  * Client of the own backend server.
  *
@@ -52,8 +82,11 @@
 
   readonly #classifier: FailureClassifier;
 
+  readonly #protocol: CallProtocol;
+
   constructor(private readonly options: BackendClientOptions) {
     this.#classifier = options.classifier ?? new WrittenClassifier();
+    this.#protocol = options.protocol ?? new OwnCallProtocol();
     this.#pool = this.#openPool();
     this.#freshPool = this.#openPool();
     this.#proven = new ProvenConnections(options.connectionsMax, () => this.#openClient());
@@ -66,9 +99,16 @@
     signal: CancelSignal,
     onEnd: (end: BackendEnd) => void,
   ): Promise<BackendResult> {
-    const hasBody = open.method !== 'HEAD';
-    const exchange = new BackendExchange(open.isIdempotent, hasBody, this.#classifier);
-    const onAbort = (): void => exchange.abort(RefusalReason.Cancelled);
+    const { finishesNonIdempotent = false, wholeAnswerMaxBytes = 0, serverId } = this.options;
+    const exchange = new BackendExchange(open, {
+      classifier: this.#classifier,
+      protocol: this.#protocol,
+      wholeAnswerMaxBytes,
+    });
+    const onAbort = (): void => {
+      const isLeftToRun = finishesNonIdempotent && !open.isIdempotent && exchange.writtenAtMs > 0;
+      if (!isLeftToRun) exchange.abort(RefusalReason.Cancelled);
+    };
     signal.addEventListener('abort', onAbort);
     // The sender's cancel may be lost with its link, so the deadline is kept here as well.
     const timer = setTimeout(() => exchange.abort(RefusalReason.DeadlinePassed), remainingMs);
@@ -81,7 +121,13 @@
     const request: Dispatcher.DispatchOptions = {
       method: open.method,
       path: open.path,
-      headers: backendRequestHeaders(open, remainingMs, whole !== undefined),
+      headers: requestHeaders(
+        this.#protocol,
+        open,
+        remainingMs,
+        serverId?.() ?? '',
+        whole !== undefined,
+      ),
       body: this.#toUndiciBody(whole, body),
     };
     this.#dispatch(request, exchange, open.isIdempotent, monotonicNowMs() + remainingMs);
--- a/packages/membership/src/gossip-row.ts
+++ b/packages/membership/src/gossip-row.ts
@@ -9,6 +9,9 @@
    * had a clock ahead of its own. Calls name the incarnation, which differs between lives anyway.
    */
   announcedIncarnation: number;
+  service: string;
+  backendVersion: string;
+  serverRevision: number;
 }
 
 /** Whether a member in this state may still run work. */
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -274,6 +274,7 @@
       return;
     }
     const wasIncarnation = members.get(row.id)?.incarnation;
+    const wasRevision = members.get(row.id)?.serverRevision;
     const isNews = members.merge(row);
     if (!isNews && row.id === fromId) this.#tellFormerLife(row);
     if (!isNews) return;
@@ -281,6 +282,7 @@
     if (!now) return;
     const isNew = wasIncarnation !== now.incarnation;
     if (isNew) this.spreadRow(now, false);
+    else if (wasRevision !== now.serverRevision) this.spreadRow(now, true);
     else
       this.spreadState(now, now.state, [], now.refutation > 0 || now.state !== MemberState.Alive);
   }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -5,6 +5,7 @@
 export type { SpreadPolicy, SuspicionPolicy } from './policies.js';
 export { PushAndRepair } from './push-and-repair.js';
 export { QuorumSuspicion } from './quorum-suspicion.js';
+export { hashText } from './hash.js';
 export { headKey } from './register-table.js';
 export type { GossipRow } from './gossip-row.js';
 export { UdpPort } from './udp-port.js';
--- a/packages/membership/src/members-table.ts
+++ b/packages/membership/src/members-table.ts
@@ -111,13 +111,14 @@
   #mergeKnown(known: GossipRow, heard: GossipRow): boolean {
     const row = known;
     if (heard.configVersion > row.configVersion) row.configVersion = heard.configVersion;
-    if (comparePrecedence(heard, known) <= 0) return false;
+    const isServerNews = this.#mergeServer(row, heard);
+    if (comparePrecedence(heard, known) <= 0) return isServerNews;
     const isSameEpoch =
       heard.announcedIncarnation === known.announcedIncarnation &&
       heard.incarnation === known.incarnation &&
       heard.refutation === known.refutation;
     const isBelief = heard.state === MemberState.Suspect || heard.state === MemberState.Dead;
-    if (isSameEpoch && isBelief) return false;
+    if (isSameEpoch && isBelief) return isServerNews;
     const state = heard.state === MemberState.Suspect ? MemberState.Alive : heard.state;
     const isSameLife = heard.incarnation === known.incarnation;
     if (!isSameLife || heard.announcedIncarnation > known.announcedIncarnation) {
@@ -135,6 +136,28 @@
     return true;
   }
 
+  /** The backend server beside a node may change while the node lives. */
+  #mergeServer(row: GossipRow, heard: GossipRow): boolean {
+    if (heard.incarnation !== row.incarnation) return false;
+    if (heard.serverRevision <= row.serverRevision) return false;
+    this.setServer(row, heard);
+    return true;
+  }
+
+  /** Changes the backend server of a row and its place in the index by service. */
+  setServer(
+    row: GossipRow,
+    server: Pick<GossipRow, 'service' | 'backendVersion' | 'serverRevision'>,
+  ): void {
+    const changed = row;
+    this.#removeFromService(changed);
+    changed.service = server.service;
+    changed.backendVersion = server.backendVersion;
+    changed.serverRevision = server.serverRevision;
+    this.#addToService(changed);
+    this.rows.touch();
+  }
+
   /** Takes over a state of a known incarnation, as `merge` does for whole rows. */
   mergeState(id: string, incarnation: number, refutation: number, state: MemberState): boolean {
     const known = this.rows.get(id);
@@ -174,20 +197,28 @@
 
   #insert(row: GossipRow): void {
     this.rows.set(row.id, row);
+    this.#addToService(row);
+    if (isLiveState(row.state)) this.#addLive(row);
+  }
+
+  #remove(row: GossipRow): void {
+    this.rows.delete(row.id);
+    this.#removeFromService(row);
+    this.#removeLive(row);
+  }
+
+  #addToService(row: GossipRow): void {
     const rows = this.#byService.get(row.service) ?? [];
     const position = rows.findIndex((other) => other.id > row.id);
     rows.splice(position < 0 ? rows.length : position, 0, row);
     this.#byService.set(row.service, rows);
-    if (isLiveState(row.state)) this.#addLive(row);
   }
 
-  #remove(row: GossipRow): void {
-    this.rows.delete(row.id);
+  #removeFromService(row: GossipRow): void {
     const rows = this.#byService.get(row.service) ?? [];
     const position = rows.indexOf(row);
     if (position >= 0) rows.splice(position, 1);
     if (rows.length === 0) this.#byService.delete(row.service);
-    this.#removeLive(row);
   }
 
   #addLive(row: GossipRow): void {
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -288,6 +288,7 @@
   const row = (id: string, incarnation: number, state: MemberState): GossipRow => ({
     ...{ id, incarnation, state, refutation: 0, configVersion: 9, stateChangedAtMs: 0 },
     announcedIncarnation: incarnation,
+    serverRevision: 0,
     ...{ address: '', gossipPort: 0, linkPort: 0, callPort: 0 },
     ...{ region: '', dataCentre: '', service: 'rounds', backendVersion: 'v1' },
   });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -64,6 +64,8 @@
   /** Takes a drain back; the node is announced as alive again once it is ready. */
   announceReturned(): void;
   announceLeft(): void;
+  /** Announces the backend server beside this node; empty texts while none takes new work. */
+  announceServer(service: string, backendVersion: string): void;
   /** Tells the witnesses of this node which configuration version it has in force. */
   announceConfigVersion(): void;
   /** Members that were told this node's configuration versions and can be asked after a restart. */
@@ -108,6 +110,7 @@
     stateChangedAtMs: 0,
     refutation: 0,
     announcedIncarnation: options.self.incarnation,
+    serverRevision: 0,
   };
   const members = new MembersTable(self);
   const picker = new PeerPicker(members, random);
@@ -156,6 +159,12 @@
       members.setState(self, MemberState.Joining);
     },
     announceLeft: () => announce(MemberState.Left),
+    announceServer: (service, backendVersion) => {
+      if (self.service === service && self.backendVersion === backendVersion) return;
+      const serverRevision = self.serverRevision + 1;
+      members.setServer(self, { service, backendVersion, serverRevision });
+      core.spreadRow(core.ownRow(), true);
+    },
     announceConfigVersion: () => {
       for (const witness of picker.witnesses(witnessCount)) {
         core.send(MessageType.Push, witness, { items: [encodeRow(core.ownRow())] });
--- a/packages/membership/src/properties.test.ts
+++ b/packages/membership/src/properties.test.ts
@@ -22,6 +22,7 @@
   id,
   incarnation,
   announcedIncarnation: incarnation + raisedBy,
+  serverRevision: 0,
   refutation,
   state,
   configVersion: incarnation,
--- a/packages/membership/src/row-sync.ts
+++ b/packages/membership/src/row-sync.ts
@@ -31,7 +31,7 @@
 const rowHash = (row: GossipRow): number =>
   hashText(
     `${row.id} ${row.announcedIncarnation} ${row.incarnation} ${row.refutation} ` +
-      `${digestState(row.state)}`,
+      `${row.serverRevision} ${digestState(row.state)}`,
   );
 
 const numbersOf = (value: unknown): readonly number[] => {
--- a/packages/membership/src/wire.ts
+++ b/packages/membership/src/wire.ts
@@ -73,8 +73,9 @@
   dataCentre: string,
   service: string,
   backendVersion: string,
-  /** Announced incarnation less the incarnation; left out if 0, as for nearly every member. */
+  /** Announced incarnation less the incarnation; left out with what follows if both are 0. */
   raisedBy?: number,
+  serverRevision?: number,
 ];
 
 const packr = new Packr({ useRecords: false });
@@ -90,6 +91,14 @@
 const asOpenArray = (value: unknown, length: number, what: string): readonly unknown[] =>
   asArray(value, Array.isArray(value) && value.length === length + 1 ? length + 1 : length, what);
 
+const rowLength = 13;
+
+/** A row may leave out its last two elements. */
+const asRowTuple = (value: unknown): readonly unknown[] =>
+  Array.isArray(value) && value.length >= rowLength && value.length <= rowLength + 2
+    ? value
+    : fail('row');
+
 const asText = (value: unknown, what: string): string =>
   typeof value === 'string' && value.length <= 255 ? value : fail(what);
 
@@ -122,12 +131,14 @@
   row.dataCentre,
   row.service,
   row.backendVersion,
-  ...(encodeRaised(row) as [number?]),
+  ...((row.serverRevision > 0
+    ? [row.announcedIncarnation - row.incarnation, row.serverRevision]
+    : encodeRaised(row)) as [number?, number?]),
 ];
 
 /** Checks and converts a row that another node sent; throws `MembershipError`. */
 export const tupleToRow = (value: unknown): GossipRow => {
-  const tuple = asOpenArray(value, 13, 'row');
+  const tuple = asRowTuple(value);
   return {
     id: asText(tuple[0], 'id'),
     incarnation: asCount(tuple[1], 'incarnation'),
@@ -143,6 +154,7 @@
     service: asText(tuple[11], 'service'),
     backendVersion: asText(tuple[12], 'backendVersion'),
     announcedIncarnation: decodeRaised(tuple[1], tuple[13]),
+    serverRevision: asCount(tuple[14] ?? 0, 'server revision'),
     stateChangedAtMs: 0,
   };
 };
--- /dev/null
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -0,0 +1,127 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { logEvents, type Logger } from '@sequoiafield/logger';
+import { hashText } from '@sequoiafield/membership';
+import { monotonicNowMs, SeededRandom, TickLoop, wallNowUnixMs } from '@sequoiafield/tables';
+import { MoveVerdict, type BackendDeparture, type BackendHeartbeat } from '@sequoiafield/types';
+import { createMeshParts, type MeshParts, type PlatformParts } from './mesh-parts.js';
+import type { MetricSource } from './metrics.js';
+import type { MeshNodeSettings } from './settings.js';
+
+/**
+ * Time in which a stopping node still takes requests: clients learn of it by two questions a second
+ * apart, and the way of the last request.
+ */
+const stillTakingMs = 2600;
+/** Part of the grace in which a stopping node waits for what runs. */
+const graceShare = 0.85;
+const idlePollMs = 20;
+
+/** One node of the mesh: the parts of the system beside one backend server. */
+export class MeshNode {
+  readonly #parts: MeshParts;
+
+  readonly #loop: TickLoop;
+
+  #stopping: Promise<void> | undefined;
+
+  constructor(
+    private readonly settings: MeshNodeSettings,
+    platform: PlatformParts,
+    private readonly logger: Logger,
+  ) {
+    const incarnation = wallNowUnixMs();
+    const random = new SeededRandom(hashText(`${settings.id} ${incarnation}`));
+    this.#parts = createMeshParts({ settings, platform, incarnation, random, logger });
+    this.#loop = new TickLoop(this.#parts.systems, (system, error) =>
+      logger.log(logEvents.systemFailed, { system, error: String(error) }),
+    );
+  }
+
+  /** Listens for peers and callers and starts the tick loop. */
+  async start(): Promise<void> {
+    const { transport, membership, calls } = this.#parts;
+    await Promise.all([transport.start(), membership.start(), calls.start()]);
+    this.#loop.start();
+    this.#loop.runOnce();
+    this.logger.log(logEvents.nodeStarted, { id: this.settings.id });
+  }
+
+  /** Whether clients may send requests here. */
+  isReady(): boolean {
+    return this.#stopping === undefined && this.#parts.isServing() && this.#parts.isInTouch();
+  }
+
+  /** Takes a heartbeat of the backend server; its promises hold from then on. */
+  hear(heartbeat: BackendHeartbeat): void {
+    this.#parts.serverWatch.hear(heartbeat);
+  }
+
+  /** Takes the word of the backend server that it left. */
+  depart(departure: BackendDeparture): void {
+    this.#parts.serverWatch.depart(departure);
+  }
+
+  /** Graceful shutdown: serves what comes and what runs, and ends within the grace. */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stopGracefully();
+    return this.#stopping;
+  }
+
+  metricSources(): readonly MetricSource[] {
+    const { calls, gate, membership, orders, moves } = this.#parts;
+    const { counters } = calls;
+    const source = (name: string, help: string, read: () => number): MetricSource => ({
+      name: `sequoiafield_${name}`,
+      help,
+      read,
+    });
+    return [
+      source('calls_started_total', 'Calls of callers', () => counters.callsStarted),
+      source('calls_answered_total', 'Calls answered by a backend server', () => counters.callsAnswered),
+      source('calls_not_run_total', 'Calls refused as not run', () => counters.callsNotRun),
+      source('calls_unknown_total', 'Calls that may have run', () => counters.callsUnknown),
+      source('call_retries_total', 'Attempts after the first', () => counters.retries),
+      source('backend_requests_total', 'Requests to the own server', () => counters.backendRequests),
+      source('backend_failures_total', 'Failed by the own server', () => counters.backendFailures),
+      source('gate_running_calls', 'Calls on the own server', () => gate.load().runningCalls),
+      source('gate_queued_calls', 'Calls that wait for a slot', () => gate.load().queuedCalls),
+      source('fleet_members', 'Live members', () => membership.view.fleetSize()),
+      source('orders_revision', 'Revision in force', () => orders.view.current().storeRevision),
+      source(
+        'config_version',
+        'Configuration in force',
+        () => orders.view.current().configuration?.version ?? 0,
+      ),
+      source(
+        'moves_undecided',
+        'Moves that run',
+        () =>
+          moves.view.statuses().filter(({ verdict }) => verdict === MoveVerdict.Undecided).length,
+      ),
+    ];
+  }
+
+  async #stopGracefully(): Promise<void> {
+    this.logger.log(logEvents.nodeDraining, {});
+    const { calls, receiver, membership, transport, orders } = this.#parts;
+    const startedAtMs = monotonicNowMs();
+    receiver.startDraining();
+    membership.announceDraining();
+    transport.announceDraining();
+    calls.startClosing();
+    await delay(stillTakingMs);
+    const endAtMs = startedAtMs + graceShare * this.settings.graceMs;
+    const runs = (): boolean =>
+      calls.runningCount > 0 || receiver.running.size > 0 || transport.runningCount > 0;
+    while (runs() && monotonicNowMs() < endAtMs) await delay(idlePollMs);
+    membership.announceLeft();
+    // The last answers and the departure leave with the next turns of the loop.
+    await delay(idlePollMs);
+    this.#loop.stop();
+    orders.stop();
+    await calls.stop();
+    await transport.stop();
+    membership.stop();
+    this.logger.log(logEvents.nodeStopped, {});
+  }
+}
--- /dev/null
+++ b/packages/mesh-node/src/read-settings.ts
@@ -0,0 +1,86 @@
+import { parse } from 'ini';
+import { NodeError } from '@sequoiafield/errors';
+import type { Endpoint, MeshNodeSettings } from './settings.js';
+
+/** Values of the settings file by section and key. */
+type Sections = Readonly<Record<string, Readonly<Record<string, unknown>> | undefined>>;
+
+const msPerS = 1000;
+const portMax = 65_535;
+const endpointPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
+
+/** Reads values and collects what is wrong with them. */
+class ValueReader {
+  readonly problems: string[] = [];
+
+  constructor(private readonly sections: Sections) {}
+
+  text(section: string, key: string): string {
+    const value = this.sections[section]?.[key];
+    if (typeof value === 'string' && value !== '') return value;
+    this.problems.push(`[${section}] lacks ${key}`);
+    return '';
+  }
+
+  number(section: string, key: string): number {
+    const text = this.text(section, key);
+    const value = Number(text);
+    if (text !== '' && !(Number.isFinite(value) && value >= 0)) {
+      this.problems.push(`${key} of [${section}] must be a number of at least 0, not "${text}"`);
+    }
+    return value;
+  }
+
+  port(section: string, key: string): number {
+    const value = this.number(section, key);
+    if (!Number.isInteger(value) || value < 1 || value > portMax) {
+      this.problems.push(`${key} of [${section}] must be a port`);
+    }
+    return value;
+  }
+
+  endpoint(section: string): Endpoint {
+    const text = this.text(section, 'endpoint');
+    const match = endpointPattern.exec(text);
+    if (!match && text !== '') {
+      this.problems.push(`endpoint of [${section}] must be an IP address and a port, not "${text}"`);
+    }
+    return { address: match?.[1] ?? '', port: Number(match?.[2] ?? 0) };
+  }
+}
+
+/**
+ * Reads the settings of a node from the text of its file; throws a `NodeError` that names every
+ * problem.
+ *
+ * @example
+ * const settings = readMeshNodeSettings(await readFile(path, 'utf8'));
+ */
+export const readMeshNodeSettings = (text: string): MeshNodeSettings => {
+  const values = new ValueReader(parse(text) as Sections);
+  const settings: MeshNodeSettings = {
+    id: values.text('node', 'id'),
+    address: values.text('node', 'address'),
+    region: values.text('node', 'region'),
+    dataCentre: values.text('node', 'data_centre'),
+    peerPort: values.port('node', 'peer_port'),
+    metricsPort: values.port('node', 'metrics_port'),
+    ingress: values.endpoint('ingress'),
+    readiness: values.endpoint('readiness'),
+    announcements: values.endpoint('announcements'),
+    backendServer: values.endpoint('backend_server'),
+    service: values.text('backend_server', 'service'),
+    heartbeatIntervalMs: values.number('backend_server', 'heartbeat_interval_s') * msPerS,
+    store: values.endpoint('store'),
+    retryLimit: {
+      ratio: values.number('retries', 'ratio'),
+      slack: values.number('retries', 'slack'),
+      windowMs: values.number('retries', 'window_s') * msPerS,
+    },
+    graceMs: values.number('stop', 'grace_s') * msPerS,
+  };
+  if (values.problems.length > 0) {
+    throw new NodeError(`The settings cannot be used: ${values.problems.join('; ')}`);
+  }
+  return settings;
+};
--- /dev/null
+++ b/packages/mesh-node/src/server-watch.ts
@@ -0,0 +1,63 @@
+import { HeartbeatEffect, type LocalServerBook, type ServerGate } from '@sequoiafield/gate';
+import { logEvents, type Logger } from '@sequoiafield/logger';
+import type { Membership } from '@sequoiafield/membership';
+import { monotonicNowMs, type System } from '@sequoiafield/tables';
+import type { BackendDeparture, BackendHeartbeat } from '@sequoiafield/types';
+
+/**
+ * Takes the announcements of the backend server beside this node, and announces to the fleet whether
+ * it takes new work.
+ */
+export class ServerWatch implements System {
+  readonly name = 'server-watch';
+
+  #wasSilent = false;
+
+  constructor(
+    private readonly book: LocalServerBook,
+    private readonly gate: ServerGate,
+    private readonly membership: Membership,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Takes a heartbeat; the gate keeps to it from then on. */
+  hear(heartbeat: BackendHeartbeat): void {
+    const effect = this.book.hear(heartbeat, monotonicNowMs());
+    const { instanceId, service, version, bornAtUnixMs, sequence } = heartbeat;
+    const fields = { instanceId, service, version, bornAtUnixMs, sequence };
+    if (effect === HeartbeatEffect.Replaced) {
+      this.logger.log(logEvents.backendServerAnnounced, fields);
+    } else if (effect === HeartbeatEffect.Leaving) {
+      this.logger.log(logEvents.backendServerLeaving, fields);
+    } else if (effect === HeartbeatEffect.Ignored) {
+      this.logger.log(logEvents.heartbeatIgnored, fields);
+    }
+    this.#apply();
+  }
+
+  /** Takes the word that a server left. */
+  depart(departure: BackendDeparture): void {
+    const isKnown = this.book.depart(departure);
+    this.logger.log(logEvents.backendServerLeaving, { ...departure, isKnown });
+    this.#apply();
+  }
+
+  run(): void {
+    const server = this.book.current();
+    const isSilent = server !== undefined && this.gate.isSilent(server, monotonicNowMs());
+    if (isSilent && !this.#wasSilent) {
+      const { instanceId, service } = server.heartbeat;
+      this.logger.log(logEvents.backendServerSilent, { instanceId, service });
+    }
+    this.#wasSilent = isSilent;
+    const isServing = server !== undefined && !server.isLeaving && !isSilent;
+    if (isServing) {
+      this.membership.announceServer(server.heartbeat.service, server.heartbeat.version);
+    } else this.membership.announceServer('', '');
+  }
+
+  #apply(): void {
+    this.gate.run({ nowMs: monotonicNowMs() });
+    this.run();
+  }
+}
--- /dev/null
+++ b/packages/mesh-node/src/settings.ts
@@ -0,0 +1,32 @@
+import type { RetryLimit } from '@sequoiafield/routing';
+
+/** IP address and port. */
+export interface Endpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Settings of a node of the mesh. */
+export interface MeshNodeSettings {
+  readonly id: string;
+  readonly address: string;
+  readonly region: string;
+  readonly dataCentre: string;
+  /** UDP port for gossip and TCP port for links. */
+  readonly peerPort: number;
+  readonly metricsPort: number;
+  /** Takes requests of clients and of the own backend server. */
+  readonly ingress: Endpoint;
+  /** Tells whether this node can serve. */
+  readonly readiness: Endpoint;
+  /** Takes the announcements of the own backend server. */
+  readonly announcements: Endpoint;
+  readonly backendServer: Endpoint;
+  /** Service of the backend server, until it announces itself. */
+  readonly service: string;
+  readonly heartbeatIntervalMs: number;
+  readonly store: Endpoint;
+  readonly retryLimit: RetryLimit;
+  /** Time between the signal to stop and the end by force. */
+  readonly graceMs: number;
+}
--- /dev/null
+++ b/packages/moves/src/latency-buckets.ts
@@ -0,0 +1,19 @@
+/** Upper bounds of the buckets in ms, each twice the one before; the last bucket is open. */
+export const bucketBoundsMs: readonly number[] = [10, 20, 40, 80, 160, 320, 640, 1280, 2560];
+
+/** Index of the bucket of a latency. */
+export const bucketOf = (latencyMs: number): number => {
+  const index = bucketBoundsMs.findIndex((boundMs) => latencyMs <= boundMs);
+  return index < 0 ? bucketBoundsMs.length : index;
+};
+
+/** Share of the calls above a bucket, 0 to 1. */
+export const shareAbove = (buckets: readonly number[], bucket: number): number => {
+  let all = 0;
+  let above = 0;
+  buckets.forEach((count, index) => {
+    all += count;
+    if (index > bucket) above += count;
+  });
+  return all === 0 ? 0 : above / all;
+};
--- /dev/null
+++ b/packages/moves/src/move-stages.ts
@@ -0,0 +1,38 @@
+/** Step of a move: the share of the new version from a point of the order's time on. */
+export interface MoveStage {
+  /** Part of the order's time, 0 to 1. */
+  readonly fromFraction: number;
+  /** Share of the service's calls, 0 to 1. */
+  readonly share: number;
+}
+
+/**
+ * Until the last stage a version has got 0.05 x 0.4 + 0.3 x 0.08 + 0.6 x 0.08 = 9.2 % of the calls of
+ * the order's time, which stays under the tenth that a bad version may get. The last stage leaves half
+ * of the time for the old servers to empty and for the store.
+ */
+export const moveStages: readonly MoveStage[] = [
+  { fromFraction: 0, share: 0.05 },
+  { fromFraction: 0.4, share: 0.3 },
+  { fromFraction: 0.48, share: 0.6 },
+  { fromFraction: 0.56, share: 1 },
+];
+
+/** Index of the stage with all calls on the new version. */
+export const lastStage = moveStages.length - 1;
+
+/** Steps of the register of a move; a higher one replaces a lower one. */
+export const rolledBackStep = 14;
+/** Above `rolledBackStep`: the store already holds it, and the old servers stop. */
+export const completedStep = 15;
+const stepsPerOrder = 16;
+
+/** Rank of a step of an order; orders of a service follow each other by revision. */
+export const rankOf = (orderRevision: number, step: number): number =>
+  orderRevision * stepsPerOrder + step;
+
+/** Step of an order by the rank of its register; undefined if the rank is of another order. */
+export const stepOf = (orderRevision: number, rank: number): number | undefined => {
+  const step = rank - orderRevision * stepsPerOrder;
+  return step >= 0 && step < stepsPerOrder ? step : undefined;
+};
--- /dev/null
+++ b/packages/moves/src/version-judge.ts
@@ -0,0 +1,76 @@
+import { addCounts, callsOf, emptyCounts, type RouteCounts } from './evidence.js';
+import { bucketBoundsMs, shareAbove } from './latency-buckets.js';
+
+/** What the evidence says of a new version. */
+export enum Judgement {
+  /** Too few calls to say anything. */
+  Open = 'open',
+  Good = 'good',
+  Bad = 'bad',
+}
+
+/**
+ * Calls before a route of the new version is judged. A version that fails 30 % of its calls shows 4 or
+ * more failures in 12 with a probability of 0.5, and in the 50 calls that the exposure allows beside its
+ * tenth with one of 0.99.
+ */
+const callsMin = 12;
+/** Bad calls before a version can be bad; single failures occur on good ones as well. */
+const badCallsMin = 4;
+/** Share of bad calls that a good version stays under beyond twice the share of the old version. */
+const badShareMax = 0.15;
+/** Share of the old version's calls that may lie above the latency that counts as usual. */
+const usualShareAbove = 0.08;
+/** Buckets between the usual latency and a slow call; servers of one service differ threefold. */
+const slowBuckets = 1;
+
+/** Bucket above which a call is slow, by the calls of the old version. */
+const slowBucketOf = (old: RouteCounts): number => {
+  for (let bucket = 0; bucket < bucketBoundsMs.length; bucket++) {
+    if (shareAbove(old.buckets, bucket) <= usualShareAbove) return bucket + slowBuckets;
+  }
+  return bucketBoundsMs.length;
+};
+
+const failedShare = (counts: RouteCounts): number =>
+  counts.answered === 0 ? 0 : counts.failed / counts.answered;
+
+const judgeRoute = (old: RouteCounts | undefined, candidate: RouteCounts): Judgement => {
+  const calls = callsOf(candidate);
+  if (calls < callsMin) return Judgement.Open;
+  const isComparable = old !== undefined && callsOf(old) >= callsMin;
+  const oldFailed = isComparable ? failedShare(old) : 0;
+  const failed = failedShare(candidate);
+  if (candidate.failed >= badCallsMin && failed > badShareMax + 2 * oldFailed) return Judgement.Bad;
+  if (!isComparable) return Judgement.Good;
+  const slowBucket = slowBucketOf(old);
+  const slow = shareAbove(candidate.buckets, slowBucket);
+  const oldSlow = shareAbove(old.buckets, slowBucket);
+  const isSlow = slow * calls >= badCallsMin && slow > badShareMax + 2 * oldSlow;
+  return isSlow ? Judgement.Bad : Judgement.Good;
+};
+
+/** Counts by route. */
+export type CountsByRoute = ReadonlyMap<string, RouteCounts>;
+
+/**
+ * Judges a new version against the old one, route by route, since a version may be bad on one route
+ * only.
+ *
+ * @example
+ * judgeVersion(oldCounts, newCounts) === Judgement.Bad;
+ */
+export const judgeVersion = (old: CountsByRoute, candidate: CountsByRoute): Judgement => {
+  const judgements = [...candidate].map(([route, counts]) => judgeRoute(old.get(route), counts));
+  if (judgements.includes(Judgement.Bad)) return Judgement.Bad;
+  return judgements.includes(Judgement.Good) ? Judgement.Good : Judgement.Open;
+};
+
+/** What was counted between two states of the same counters. */
+export const countsSince = (now: CountsByRoute, before: CountsByRoute): CountsByRoute =>
+  new Map(
+    [...now].map(([route, counts]) => [
+      route,
+      addCounts(counts, before.get(route) ?? emptyCounts(), -1),
+    ]),
+  );
--- /dev/null
+++ b/packages/orders/src/create-orders.ts
@@ -0,0 +1,56 @@
+import type { Logger } from '@sequoiafield/logger';
+import type { RangeStore } from '@sequoiafield/store';
+import type { RandomSource, System } from '@sequoiafield/tables';
+import type { LinkRequester, MemberView, OrdersView, RegisterGossip } from '@sequoiafield/types';
+import type { OrdersDecoder } from './orders-decoder.js';
+import { OrdersExchange } from './orders-exchange.js';
+import { OrdersFollower } from './orders-follower.js';
+import { OrdersTable } from './orders-table.js';
+import { WatcherChoice } from './watcher-choice.js';
+
+/** What the orders of a node need. */
+export interface OrdersOptions {
+  readonly store: RangeStore;
+  readonly decoder: OrdersDecoder;
+  readonly ordersPrefix: string;
+  readonly recordsPrefix: string;
+  readonly members: MemberView;
+  readonly registers: RegisterGossip;
+  readonly links: LinkRequester;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** Called after an entry changed. */
+  readonly onChanged: () => void;
+}
+
+/** Orders of one node. */
+export interface Orders {
+  readonly view: OrdersView;
+  readonly systems: readonly System[];
+  /** Monotonic time of the store's last answer to this node; minus infinity before the first. */
+  answeredAtMs(): number;
+  /** Asks a peer for the newest orders. */
+  fetchFromPeers(): void;
+  stop(): void;
+}
+
+/**
+ * Creates the orders of one node. Run its `systems` in the node's tick loop.
+ *
+ * @example
+ * const orders = createOrders({ store, decoder, ordersPrefix, recordsPrefix, ...fleet, onChanged });
+ * orders.view.current().configuration?.version;
+ */
+export const createOrders = (options: OrdersOptions): Orders => {
+  const table = new OrdersTable(options.decoder, options.logger);
+  const exchange = new OrdersExchange(table, options.links);
+  const watchers = new WatcherChoice(options.members);
+  const follower = new OrdersFollower({ ...options, table, exchange, watchers });
+  return {
+    view: table,
+    systems: [follower],
+    answeredAtMs: () => follower.answeredAtMs,
+    fetchFromPeers: () => follower.fetchFromPeers(),
+    stop: () => follower.stop(),
+  };
+};
--- /dev/null
+++ b/packages/routing/src/mesh/member-pressure.ts
@@ -0,0 +1,142 @@
+import { monotonicNowMs, Table } from '@sequoiafield/tables';
+import { RefusalReason, type AttemptReport, type LoadReport } from '@sequoiafield/types';
+
+/** A report counts in full for this long and fades to nothing within as much again. */
+const reportFreshMs = 300;
+/** Service time that is assumed of a member that has not reported one. */
+const unknownServiceMs = 30;
+
+/** First pause of a member that could not be reached, doubled up to the maximum. */
+const unreachablePauseMs = 250;
+const unreachablePauseMaxMs = 2000;
+/** Pause of a member whose server takes no new work for reasons of its own. */
+const notServingPauseMs = 300;
+/** Pauses of a member that is full or cold, unless it says a shorter time. */
+const fullPauseMs = 25;
+const coldPauseMaxMs = 250;
+
+const unreachableReasons: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.ConnectFailed,
+  RefusalReason.LinkLost,
+  RefusalReason.WrongIncarnation,
+]);
+
+const notServingReasons: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.DataCentreOut,
+  RefusalReason.Draining,
+  RefusalReason.NotReady,
+  RefusalReason.VersionTakenBack,
+  RefusalReason.WrongServer,
+  RefusalReason.WrongVersion,
+]);
+
+interface PressureRow {
+  incarnation: number;
+  load: LoadReport;
+  reportedAtMs: number;
+  /** Attempts of this node that are not ended. */
+  ownCalls: number;
+  ownCallsAtReport: number;
+  pausedUntilMs: number;
+  unreachableInRow: number;
+}
+
+const newRow = (incarnation: number): PressureRow => ({
+  incarnation,
+  load: { runningCalls: 0, queuedCalls: 0, slotsNow: 0 },
+  reportedAtMs: Number.NEGATIVE_INFINITY,
+  ownCalls: 0,
+  ownCallsAtReport: 0,
+  pausedUntilMs: 0,
+  unreachableInRow: 0,
+});
+
+/** What this node knows of a member's load. */
+export interface Pressure {
+  readonly meanServiceMs: number;
+  /** Calls inside the member's server and before it, as estimated now. */
+  readonly calls: number;
+  readonly slots: number;
+  readonly failureRatio: number;
+  readonly isPaused: boolean;
+}
+
+/**
+ * Load of members by their reports and by this node's own calls since; members that refused or could
+ * not be reached are paused.
+ */
+export class MemberPressure {
+  readonly #rows = new Table<PressureRow>('pressures');
+
+  begin(memberId: string): void {
+    this.#row(memberId).ownCalls += 1;
+  }
+
+  report(report: AttemptReport): void {
+    const row = this.#row(report.memberId);
+    const nowMs = monotonicNowMs();
+    row.ownCalls = Math.max(0, row.ownCalls - 1);
+    if (report.load) {
+      row.load = report.load;
+      row.reportedAtMs = nowMs;
+      row.ownCallsAtReport = row.ownCalls;
+    }
+    const { refusalReason: reason } = report;
+    if (reason === undefined) {
+      row.unreachableInRow = 0;
+      return;
+    }
+    row.pausedUntilMs = Math.max(row.pausedUntilMs, nowMs + this.#pauseMs(row, reason));
+  }
+
+  of(memberId: string, incarnation: number): Pressure {
+    let row = this.#row(memberId);
+    if (row.incarnation !== incarnation) {
+      // A new process starts clean; calls that still run on the old one end there.
+      row = newRow(incarnation);
+      this.#rows.set(memberId, row);
+    }
+    const nowMs = monotonicNowMs();
+    const ageMs = nowMs - row.reportedAtMs;
+    const trust = Math.max(0, Math.min(1, (2 * reportFreshMs - ageMs) / reportFreshMs));
+    const reported = row.load.runningCalls + row.load.queuedCalls;
+    const sinceReport = Math.max(0, row.ownCalls - row.ownCallsAtReport);
+    const { meanServiceMs = 0, failureRatio = 0, slotsNow } = row.load;
+    return {
+      meanServiceMs: meanServiceMs > 0 ? meanServiceMs : unknownServiceMs,
+      calls: Math.max(row.ownCalls, trust * reported + sinceReport),
+      slots: Math.max(1, slotsNow),
+      failureRatio,
+      isPaused: nowMs < row.pausedUntilMs,
+    };
+  }
+
+  pausedUntilMs(memberId: string): number {
+    return this.#rows.get(memberId)?.pausedUntilMs ?? 0;
+  }
+
+  prune(isKnown: (memberId: string) => boolean): void {
+    for (const id of [...this.#rows.ids()]) if (!isKnown(id)) this.#rows.delete(id);
+  }
+
+  #pauseMs(row: PressureRow, reason: RefusalReason): number {
+    const changed = row;
+    if (unreachableReasons.has(reason)) {
+      const pauseMs = unreachablePauseMs * 2 ** row.unreachableInRow;
+      changed.unreachableInRow += 1;
+      return Math.min(unreachablePauseMaxMs, pauseMs);
+    }
+    if (notServingReasons.has(reason)) return notServingPauseMs;
+    if (reason === RefusalReason.QueueFull) return fullPauseMs;
+    if (reason === RefusalReason.ColdServer) return coldPauseMaxMs;
+    return 0;
+  }
+
+  #row(memberId: string): PressureRow {
+    const known = this.#rows.get(memberId);
+    if (known) return known;
+    const row = newRow(0);
+    this.#rows.set(memberId, row);
+    return row;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -0,0 +1,191 @@
+import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
+import {
+  MemberState,
+  type AttemptReport,
+  type MemberRow,
+  type MemberView,
+  type MeshConfiguration,
+  type OrdersView,
+  type RouteMatch,
+  type Router,
+} from '@sequoiafield/types';
+import { DestinationSplitters } from './destination-splitter.js';
+import { FleetRetryBudget, type RetryLimit } from './fleet-retry-budget.js';
+import { HostRouteTable } from './host-route-table.js';
+import { MemberPressure } from './member-pressure.js';
+
+/**
+ * Time that a member of another data centre has to be better by. The way there and back costs about
+ * 2 ms, and its bytes are paid for; a near server that is full costs more.
+ */
+const distanceMs = 30;
+/** Time that a member's expected failures cost: about what a second attempt takes. */
+const failureMs = 400;
+/** Time that a doubted member has to be better by. */
+const suspectMs = 100;
+/** Noise in the comparison, so that nodes with equal knowledge choose differently. */
+const jitterPart = 0.1;
+/** Members compared for one call; more would cost time, and two already avoid the fullest. */
+const comparedMax = 8;
+const pruneIntervalMs = 10_000;
+
+/** What a mesh router reads. */
+export interface MeshRouterSources {
+  readonly selfId: string;
+  readonly dataCentre: string;
+  readonly orders: OrdersView;
+  readonly members: MemberView;
+  readonly retryLimit: RetryLimit;
+  readonly random: RandomSource;
+}
+
+/**
+ * Router over hosts, prefixes and weights, which chooses members by expected time to an answer.
+ *
+ * @example
+ * const match = router.match('GET', '/orders/7', 'shop.example');
+ * const member = match && router.choose(match.service.name, 'v1', new Set());
+ */
+export class MeshRouter implements Router, System {
+  readonly name = 'mesh-routing';
+
+  readonly #splitters = new DestinationSplitters();
+
+  readonly #pressure = new MemberPressure();
+
+  readonly #budget: FleetRetryBudget;
+
+  #compiledFrom: MeshConfiguration | undefined;
+
+  #table = new HostRouteTable([]);
+
+  #prunedAtMs = 0;
+
+  constructor(private readonly sources: MeshRouterSources) {
+    const { retryLimit, members } = sources;
+    this.#budget = new FleetRetryBudget(retryLimit, () => members.fleetSize());
+  }
+
+  run(): void {
+    const nowMs = monotonicNowMs();
+    if (nowMs - this.#prunedAtMs < pruneIntervalMs) return;
+    this.#prunedAtMs = nowMs;
+    this.#pressure.prune((id) => this.sources.members.get(id) !== undefined);
+  }
+
+  match(_method: string, path: string, host: string): RouteMatch | undefined {
+    const { configuration } = this.sources.orders.current();
+    if (configuration !== this.#compiledFrom) {
+      this.#compiledFrom = configuration;
+      this.#table = new HostRouteTable(configuration?.routes ?? []);
+    }
+    const route = this.#table.find(host, path);
+    const service = route && this.#splitters.next(route);
+    if (!route || service === undefined) return undefined;
+    return {
+      route: {
+        name: route.name,
+        isIdempotent: route.isIdempotent,
+        deadlineMs: route.timeoutMs,
+        retryBudgetPercent: 100 * this.sources.retryLimit.ratio,
+        attemptsMax: route.attemptsMax,
+      },
+      service: { name: service, priority: route.rank, stableVersion: '' },
+    };
+  }
+
+  choose(
+    service: string,
+    backendVersion: string,
+    triedIds: ReadonlySet<string>,
+  ): MemberRow | undefined {
+    const candidates = this.#candidates(service, backendVersion, triedIds);
+    const usable = candidates.filter((row) => !this.#pressureOf(row).isPaused);
+    if (usable.length > 0) return this.#best(this.#sample(usable));
+    // Fails open: the member whose pause ends first is the likeliest to serve again.
+    return candidates.reduce<MemberRow | undefined>((first, row) => {
+      if (!first) return row;
+      const isEarlier =
+        this.#pressure.pausedUntilMs(row.id) < this.#pressure.pausedUntilMs(first.id);
+      return isEarlier ? row : first;
+    }, undefined);
+  }
+
+  begin(memberId: string): void {
+    this.#pressure.begin(memberId);
+  }
+
+  report(report: AttemptReport): void {
+    this.#pressure.report(report);
+  }
+
+  recordFirstAttempt(service: string): void {
+    this.#budget.recordRequest(service);
+  }
+
+  takeRetry(service: string): boolean {
+    return this.#budget.take(service);
+  }
+
+  #candidates(
+    service: string,
+    backendVersion: string,
+    triedIds: ReadonlySet<string>,
+  ): readonly MemberRow[] {
+    const { evacuatedDataCentres } = this.sources.orders.current();
+    return this.sources.members.ofService(service).filter((row) => {
+      const isLive = row.state === MemberState.Alive || row.state === MemberState.Suspect;
+      const isIn = !evacuatedDataCentres.has(row.dataCentre) && !triedIds.has(row.id);
+      return isLive && isIn && row.backendVersion === backendVersion;
+    });
+  }
+
+  /** All candidates, or as many near and far ones at random as are compared. */
+  #sample(candidates: readonly MemberRow[]): readonly MemberRow[] {
+    if (candidates.length <= comparedMax) return candidates;
+    const near = candidates.filter(({ dataCentre }) => dataCentre === this.sources.dataCentre);
+    const far = candidates.filter(({ dataCentre }) => dataCentre !== this.sources.dataCentre);
+    const nearCount = Math.max(comparedMax / 2, comparedMax - far.length);
+    const picked = this.#pick(near, nearCount);
+    return [...picked, ...this.#pick(far, comparedMax - picked.length)];
+  }
+
+  #pick(rows: readonly MemberRow[], count: number): readonly MemberRow[] {
+    if (rows.length <= count) return rows;
+    const start = this.sources.random.below(rows.length);
+    const step = 1 + this.sources.random.below(rows.length - 1);
+    const picked = new Set<MemberRow>();
+    for (let turn = 0; picked.size < count && turn < rows.length; turn++) {
+      picked.add(rows[(start + turn * step) % rows.length]!);
+    }
+    return [...picked];
+  }
+
+  #best(candidates: readonly MemberRow[]): MemberRow | undefined {
+    let best: MemberRow | undefined;
+    let bestMs = Number.POSITIVE_INFINITY;
+    for (const row of candidates) {
+      const jitter = 1 + jitterPart * this.sources.random.next();
+      const expectedMs = this.#expectedMs(row) * jitter;
+      if (expectedMs < bestMs) {
+        best = row;
+        bestMs = expectedMs;
+      }
+    }
+    return best;
+  }
+
+  /** Expected time to an answer, with what distance, failures and doubt cost. */
+  #expectedMs(row: MemberRow): number {
+    const { meanServiceMs, calls, slots, failureRatio } = this.#pressureOf(row);
+    const waitMs = (Math.max(0, calls + 1 - slots) * meanServiceMs) / slots;
+    const busyMs = meanServiceMs * (1 + 0.5 * Math.min(1, calls / slots) ** 2);
+    const farMs = row.dataCentre === this.sources.dataCentre ? 0 : distanceMs;
+    const doubtMs = row.state === MemberState.Suspect ? suspectMs : 0;
+    return busyMs + waitMs + farMs + doubtMs + failureRatio * failureMs;
+  }
+
+  #pressureOf(row: MemberRow): ReturnType<MemberPressure['of']> {
+    return this.#pressure.of(row.id, row.incarnation);
+  }
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -28,3 +28,16 @@
   type StoreEntry,
   type SwapResult,
 } from './platform-store.js';
+export {
+  HistoryGoneError,
+  isRemoval,
+  type RangeStore,
+  type StoreChange,
+  type StoreChanges,
+  type StoreItem,
+  type StoreRange,
+  type StoreRemoval,
+  type StoreWrite,
+  type WriteCondition,
+  type WriteResult,
+} from './range-store.js';
--- /dev/null
+++ b/packages/store/src/range-store.ts
@@ -0,0 +1,69 @@
+import { StoreError } from '@sequoiafield/errors';
+
+/** Item of the store with the revision that wrote it last. */
+export interface StoreItem {
+  readonly key: string;
+  readonly value: Uint8Array;
+  readonly revision: number;
+}
+
+/** Removal of a key. */
+export interface StoreRemoval {
+  readonly key: string;
+  readonly revision: number;
+  readonly isRemoved: true;
+}
+
+/** One change of a range: an item as it was written, or a removal. */
+export type StoreChange = StoreItem | StoreRemoval;
+
+/** Items of a range; changes after `storeRevision` may be missing from them. */
+export interface StoreRange {
+  readonly items: readonly StoreItem[];
+  readonly storeRevision: number;
+}
+
+/** Changes of a range, complete up to `storeRevision`. */
+export interface StoreChanges {
+  readonly changes: readonly StoreChange[];
+  readonly storeRevision: number;
+}
+
+/** Condition of a write: the key has this revision; `absentRevision` if it does not exist. */
+export interface WriteCondition {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** Value that a write puts under a key. */
+export interface StoreWrite {
+  readonly key: string;
+  readonly value: Uint8Array;
+}
+
+/** Result of a conditional write that was answered. */
+export type WriteResult =
+  | { readonly kind: 'written'; readonly revision: number }
+  | { readonly kind: 'conflict'; readonly items: readonly StoreItem[] };
+
+/** The store no longer has the changes after the revision that a watch asked for. */
+export const HistoryGoneError = StoreError.subclass('HistoryGoneError');
+
+/**
+ * Ranges of the platform's store. Each method makes the calls of one operation and repeats none. A
+ * failed read throws `StoreNotWrittenError`, a failed write that or `StoreOutcomeUnknownError`.
+ */
+export interface RangeStore {
+  /** Linearizable per page. */
+  readRange(prefix: string): Promise<StoreRange>;
+  /** Waits until the range changes after a revision; without changes after `waitMs`. */
+  watchRange(prefix: string, afterRevision: number, waitMs: number): Promise<StoreChanges>;
+  /** Writes all values if every condition holds. */
+  writeIf(
+    conditions: readonly WriteCondition[],
+    writes: readonly StoreWrite[],
+  ): Promise<WriteResult>;
+}
+
+/** Whether a change removes its key. */
+export const isRemoval = (change: StoreChange): change is StoreRemoval => 'isRemoved' in change;
--- a/packages/transport/src/call-codec.ts
+++ b/packages/transport/src/call-codec.ts
@@ -28,12 +28,26 @@
 };
 
 const loadToWire = (load: LoadReport | undefined): Wire | null =>
-  load ? [load.runningCalls, load.queuedCalls, load.slotsNow] : null;
+  load
+    ? [
+        load.runningCalls,
+        load.queuedCalls,
+        load.slotsNow,
+        load.meanServiceMs ?? 0,
+        load.failureRatio ?? 0,
+      ]
+    : null;
 
 const loadFromWire = (wire: unknown): LoadReport | undefined => {
   if (!Array.isArray(wire)) return undefined;
-  const [runningCalls, queuedCalls, slotsNow] = wire as [number, number, number];
-  return { runningCalls, queuedCalls, slotsNow };
+  const [runningCalls, queuedCalls, slotsNow, meanServiceMs, failureRatio] = wire as number[];
+  return {
+    runningCalls: runningCalls ?? 0,
+    queuedCalls: queuedCalls ?? 0,
+    slotsNow: slotsNow ?? 0,
+    meanServiceMs: meanServiceMs ?? 0,
+    failureRatio: failureRatio ?? 0,
+  };
 };
 
 /** Encodes the head of a call; arrays, since field names would be most of the bytes. */
@@ -53,6 +67,7 @@
     open.method,
     open.path,
     flattenHeaders(open.headers),
+    open.callerService ?? '',
   ]);
 
 /** Decodes the head of a call; `sequence` is the id of its frame. */
@@ -77,6 +92,7 @@
     method: wire[11],
     path: wire[12],
     headers: pairHeaders(wire[13]),
+    callerService: wire[14],
   };
 };
 
@@ -96,10 +112,22 @@
 };
 
 export const encodeRefusal = (refusal: CallRefusal): Buffer =>
-  packr.pack([refusal.outcome, refusal.reason, refusal.detail, loadToWire(refusal.load)]);
+  packr.pack([
+    refusal.outcome,
+    refusal.reason,
+    refusal.detail,
+    loadToWire(refusal.load),
+    refusal.retryAfterMs ?? null,
+  ]);
 
 export const decodeRefusal = (payload: Buffer): CallRefusal => {
   const wire = packr.unpack(payload);
   const load = loadFromWire(wire[3]);
-  return { outcome: wire[0], reason: wire[1], detail: wire[2], ...(load ? { load } : {}) };
+  return {
+    outcome: wire[0],
+    reason: wire[1],
+    detail: wire[2],
+    ...(load ? { load } : {}),
+    ...(typeof wire[4] === 'number' ? { retryAfterMs: wire[4] } : {}),
+  };
 };
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -6,7 +6,7 @@
 import { encodeFrame, FrameKind, readFrames } from './frames.js';
 import type { PeerClock } from './link-clock.js';
 
-const protocolVersion = 1;
+const protocolVersion = 2;
 
 /** Identity of one end of a link. */
 export interface PeerIdentity {
--- a/packages/types/src/calls.ts
+++ b/packages/types/src/calls.ts
@@ -15,6 +15,8 @@
   readonly requestId: string;
   readonly attempt: AttemptId;
   readonly service: string;
+  /** Service of the machine at which the call began; empty if unknown. */
+  readonly callerService?: string;
   readonly route: string;
   /** Backend version that the sender chose. */
   readonly backendVersion: string;
@@ -35,6 +37,10 @@
   readonly queuedCalls: number;
   /** Calls that it now runs at a time; below the service's slots while its server is cold. */
   readonly slotsNow: number;
+  /** Mean time that its server took for a call lately; 0 or left out if unknown. */
+  readonly meanServiceMs?: number;
+  /** Share of calls that its server failed or shed lately, 0 to 1; left out if unknown. */
+  readonly failureRatio?: number;
 }
 
 /** Complete answer of a call: status, headers and a body stream. */
@@ -51,6 +57,8 @@
   readonly reason: RefusalReason;
   readonly detail: string;
   readonly load?: LoadReport;
+  /** Time after which another try has a chance, as far as the refusing node knows. */
+  readonly retryAfterMs?: number;
 }
 
 /**
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -39,6 +39,8 @@
   readonly backendVersion: string;
   readonly hasFailed: boolean;
   readonly latencyMs: number;
+  /** Status of the answer; 0 or left out if there was none. */
+  readonly status?: number;
 }
 
 /** Counts outcomes of calls for the verdicts on moves. */
@@ -52,10 +54,22 @@
   recordUnanswered(service: string, route: string, backendVersion: string, memberId: string): void;
 }
 
+/** What the call path needs of a route. */
+export type CalledRoute = Pick<
+  RouteIntent,
+  'name' | 'isIdempotent' | 'deadlineMs' | 'retryBudgetPercent'
+> & {
+  /** Backend servers that one call may be sent to; by the retry policy if left out. */
+  readonly attemptsMax?: number;
+};
+
+/** What the call path needs of a service. */
+export type CalledService = Pick<ServiceIntent, 'name' | 'priority' | 'stableVersion'>;
+
 /** Result of matching a call with the configuration in force. */
 export interface RouteMatch {
-  readonly route: RouteIntent;
-  readonly service: ServiceIntent;
+  readonly route: CalledRoute;
+  readonly service: CalledService;
 }
 
 /** What the caller's side learns from one attempt. */
@@ -70,7 +84,7 @@
 
 /** Matches routes and chooses the backend server of each attempt. */
 export interface Router {
-  match(method: string, path: string): RouteMatch | undefined;
+  match(method: string, path: string, host: string): RouteMatch | undefined;
   /** Chooses a member, or undefined if none is left; `triedIds` are skipped if others exist. */
   choose(
     service: string,
@@ -88,7 +102,12 @@
 
 /** Permission to run one call on the backend server; `release` must be called once it ended. */
 export interface Permit {
-  release(result: { readonly hasFailed: boolean; readonly latencyMs: number }): void;
+  release(result: {
+    readonly hasFailed: boolean;
+    readonly latencyMs: number;
+    /** The backend server refused it without running it. */
+    readonly wasShed?: boolean;
+  }): void;
 }
 
 /** Result of asking for admission. */
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -51,6 +51,8 @@
   Cancelled = 'cancelled',
   BackendServerFailed = 'backend-server-failed',
   BackendServerRefused = 'backend-server-refused',
+  WrongServer = 'wrong-server',
+  ColdServer = 'cold-server',
 }
 
 /** Verdict on a move; `TakenBack` is final and spreads without the store. */
@@ -72,6 +74,7 @@
   Evidence = 1,
   CallerEvidence = 2,
   ShareTotals = 3,
+  MoveEvidence = 4,
 }
 
 /** Kinds of request and answer exchanges over a link, apart from calls. */
@@ -82,6 +85,7 @@
   MemberRows = 4,
   FleetQuery = 5,
   JoinFloor = 6,
+  Orders = 7,
 }
 
 /** Kinds of fleet queries: questions that every node answers and that are merged on the way. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -4,4 +4,5 @@
 export * from './decisions.js';
 export * from './enums.js';
 export * from './members.js';
+export * from './mesh.js';
 export * from './records.js';
--- a/packages/types/src/members.ts
+++ b/packages/types/src/members.ts
@@ -12,8 +12,11 @@
   readonly callPort: number;
   readonly region: string;
   readonly dataCentre: string;
+  /** Service of the backend server beside it; empty while there is none that takes new work. */
   readonly service: string;
   readonly backendVersion: string;
+  /** Rises whenever `service` or `backendVersion` change within an incarnation; 0 if left out. */
+  readonly serverRevision?: number;
 }
 
 /** Row of the members table. */
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -15,7 +15,8 @@
   });
 
 const filters = process.argv.slice(2);
-const files = listTestFiles(join(root, 'packages'))
+const files = ['packages', 'platform']
+  .flatMap((folder) => listTestFiles(join(root, folder)))
   .filter(
     (file) =>
       filters.length === 0 || filters.some((filter) => relative(root, file).includes(filter)),
