--- /dev/null
+++ b/packages/gate/src/server-gate.test.ts
@@ -0,0 +1,202 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { monotonicNowMs } from '@sequoiafield/tables';
+import { pauseClock, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
+import {
+  BackendServerState,
+  RefusalOutcome,
+  RefusalReason,
+  type AdmissionResult,
+  type BackendHeartbeat,
+  type CallOpen,
+  type Permit,
+} from '@sequoiafield/types';
+import { LocalServerBook, ServerGate } from './index.js';
+
+const slots = 3;
+const heartbeatIntervalMs = 1000;
+
+let clock: PausedClock;
+
+beforeEach(() => {
+  clock = pauseClock();
+});
+
+afterEach(() => clock.resume());
+
+const createHeartbeat = (changes: Partial<BackendHeartbeat> = {}): BackendHeartbeat => ({
+  instanceId: 'i-1',
+  bornAtUnixMs: 1000,
+  sequence: 1,
+  service: 's',
+  endpoint: 'e',
+  dataCentre: 'dc',
+  version: 'v1',
+  slots,
+  state: BackendServerState.Ready,
+  coldRemainingMs: 0,
+  ...changes,
+});
+
+const createOpen = (changes: Partial<CallOpen> = {}): CallOpen => ({
+  requestId: 'r',
+  attempt: { senderId: 'a', senderIncarnation: 1, sequence: 1, receiverIncarnation: 1 },
+  service: 's',
+  route: 'route',
+  backendVersion: 'v1',
+  configVersion: 1,
+  priority: 2,
+  isIdempotent: true,
+  deadlineAtMs: 0,
+  method: 'GET',
+  path: '/',
+  headers: [],
+  ...changes,
+});
+
+class GateRig {
+  readonly orders = new SampleOrders();
+
+  readonly book = new LocalServerBook('e');
+
+  readonly gate = new ServerGate({
+    dataCentre: 'dc',
+    book: this.book,
+    orders: this.orders,
+    heartbeatIntervalMs,
+  });
+
+  hear(changes: Partial<BackendHeartbeat> = {}): void {
+    this.book.hear(createHeartbeat(changes), monotonicNowMs());
+    this.gate.run({ nowMs: monotonicNowMs() });
+  }
+
+  admit(changes: Partial<CallOpen> = {}, leftMs = 500): Promise<AdmissionResult> {
+    const { signal } = new AbortController();
+    return this.gate.admit(createOpen(changes), monotonicNowMs() + leftMs, signal);
+  }
+}
+
+const permitOf = (result: AdmissionResult): Permit => {
+  assert.equal(result.kind, 'permit');
+  return (result as Extract<AdmissionResult, { kind: 'permit' }>).permit;
+};
+
+const reasonOf = (result: AdmissionResult): RefusalReason | undefined => {
+  if (result.kind === 'permit') return undefined;
+  assert.equal(result.refusal.outcome, RefusalOutcome.NotRun);
+  return result.refusal.reason;
+};
+
+test('no more calls run than the server has slots, and waiting ones go by rank', async () => {
+  // Guards against a server that never answers what it cannot queue.
+  const rig = new GateRig();
+  rig.hear();
+  const permits = await Promise.all([rig.admit(), rig.admit(), rig.admit()]);
+  const order: string[] = [];
+  const low = rig.admit({ priority: 2 }).then((result) => order.push('low') && result);
+  const high = rig.admit({ priority: 0 }).then((result) => order.push('high') && result);
+  await clock.advance(10);
+  permits.forEach((result) => permitOf(result).release({ hasFailed: false, latencyMs: 10 }));
+  await Promise.all([low, high]);
+  assert.deepEqual(order, ['high', 'low']);
+  assert.equal(rig.gate.load().runningCalls, 2);
+});
+
+test('a drain refuses waiting calls at once', async () => {
+  // Guards against a call that waited before the drain and reaches the server after it.
+  const rig = new GateRig();
+  rig.hear();
+  await Promise.all([rig.admit(), rig.admit(), rig.admit()]);
+  const waiting = rig.admit();
+  rig.hear({ sequence: 2, state: BackendServerState.Draining });
+  assert.equal(reasonOf(await waiting), RefusalReason.Draining);
+  assert.equal(reasonOf(await rig.admit()), RefusalReason.Draining);
+});
+
+test('an evacuated data centre takes nothing, and returns as if cold until it is heard', async () => {
+  // Guards against new work after an evacuation, and a return at full load of cold servers.
+  const rig = new GateRig();
+  rig.hear();
+  rig.orders.change({ evacuatedDataCentres: new Set(['dc']) });
+  assert.equal(reasonOf(await rig.admit()), RefusalReason.DataCentreOut);
+  rig.gate.run({ nowMs: monotonicNowMs() });
+  await clock.advance(300);
+  rig.orders.change({ evacuatedDataCentres: new Set() });
+  rig.gate.run({ nowMs: monotonicNowMs() });
+  const admitted = await admitMany(rig, 40);
+  assert.equal(admitted, 20);
+  await clock.advance(200);
+  rig.hear({ sequence: 2 });
+  assert.equal(await admitMany(rig, 40), 40);
+});
+
+test('a cold server gets its rate in every second, whatever it got while warm', async () => {
+  // Guards against a server that turns cold under load and is crashed by its share of a warm one.
+  const rig = new GateRig();
+  rig.hear();
+  await admitMany(rig, 30);
+  rig.hear({ sequence: 2, coldRemainingMs: 5000 });
+  assert.equal(await admitMany(rig, 10), 0);
+  await clock.advance(1100);
+  let inOneSecond = 0;
+  for (let step = 0; step < 20; step++) {
+    inOneSecond += await admitMany(rig, 5);
+    await clock.advance(50);
+  }
+  assert.ok(inOneSecond <= 20, `${inOneSecond} admitted in a second`);
+  assert.ok(inOneSecond >= 18, `${inOneSecond} admitted in a second`);
+});
+
+test('a silent server gets nothing until it is heard again', async () => {
+  // Guards against calls that hang at a server without power.
+  const rig = new GateRig();
+  rig.hear();
+  await clock.advance(3 * heartbeatIntervalMs);
+  assert.equal(reasonOf(await rig.admit()), RefusalReason.NotReady);
+  rig.hear({ sequence: 2 });
+  assert.equal(reasonOf(await rig.admit()), undefined);
+});
+
+test('a server that refused a connection gets nothing until it is heard or a second passed', async () => {
+  // Guards against calls to a crashed server, whose heartbeats have not yet been missed.
+  const rig = new GateRig();
+  rig.hear();
+  await clock.advance(100);
+  rig.gate.noteConnectionRefused();
+  assert.equal(reasonOf(await rig.admit()), RefusalReason.NotReady);
+  await clock.advance(1100);
+  assert.equal(reasonOf(await rig.admit()), undefined);
+});
+
+test('a call whose time cannot suffice is refused at once with a hint', async () => {
+  // Guards against a hopeless call that is held until its deadline.
+  const rig = new GateRig();
+  rig.hear();
+  for (let call = 0; call < 3; call++) {
+    permitOf(await rig.admit()).release({ hasFailed: false, latencyMs: 100 });
+  }
+  const result = await rig.admit({}, 20);
+  assert.equal(reasonOf(result), RefusalReason.DeadlineHopeless);
+  assert.ok(result.kind === 'refusal' && (result.refusal.retryAfterMs ?? 0) > 0);
+});
+
+test('the call of another service is refused', async () => {
+  // Guards against a request that runs on another service at a reused address.
+  const rig = new GateRig();
+  rig.hear();
+  assert.equal(reasonOf(await rig.admit({ service: 't' })), RefusalReason.WrongVersion);
+});
+
+/** Admits and releases calls one after the other; returns how many were admitted. */
+async function admitMany(rig: GateRig, count: number): Promise<number> {
+  let admitted = 0;
+  for (let call = 0; call < count; call++) {
+    const result = await rig.admit();
+    if (result.kind === 'permit') {
+      admitted += 1;
+      result.permit.release({ hasFailed: false, latencyMs: 1 });
+    }
+  }
+  return admitted;
+}
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -28,8 +28,6 @@
 const fleetReadIntervalMs = 900;
 /** Shortest interval of one node's reads beside the watches. */
 const ownReadMinMs = 3000;
-/** Peers asked for a revision before the store is. */
-const peersAsked = 2;
 
 /** What a follower works with. */
 export interface OrdersFollowerParts {
@@ -223,25 +221,19 @@
     if (table.storeRevision < wantedRevision && lastError !== undefined) throw lastError;
   }
 
-  /** Peers of the own data centre first, since bytes between data centres are dear. */
+  /**
+   * Whom to ask: the sender if it is near, a watcher of the own data centre, which hears of the change
+   * from the store itself, and then the sender. Bytes between data centres are dear.
+   */
   #peersFor(fromId: string): readonly MemberRow[] {
-    const { members, random } = this.parts;
+    const { members, watchers, random } = this.parts;
     const self = members.get(members.selfId);
     const sender = members.get(fromId);
-    const near = [...members.all()].filter(
-      ({ id, state, dataCentre }) =>
-        id !== members.selfId &&
-        id !== fromId &&
-        state === MemberState.Alive &&
-        dataCentre === self?.dataCentre,
-    );
-    const other = near[random.below(Math.max(1, near.length))];
-    const peers = [sender, other].filter((peer) => peer !== undefined);
-    peers.sort(
-      (left, right) =>
-        Number(right.dataCentre === self?.dataCentre) - Number(left.dataCentre === self?.dataCentre),
-    );
-    return peers.slice(0, peersAsked);
+    const near = watchers.nearWatchers().filter(({ id }) => id !== members.selfId);
+    const watcher = near[random.below(Math.max(1, near.length))];
+    const isNear = sender?.dataCentre === self?.dataCentre;
+    const peers = isNear ? [sender, watcher] : [watcher, sender];
+    return [...new Set(peers.filter((peer) => peer !== undefined))];
   }
 
   #onAnswer(): void {
--- a/packages/orders/src/watcher-choice.ts
+++ b/packages/orders/src/watcher-choice.ts
@@ -20,17 +20,22 @@
 
   /** Whether this node watches; a node that knows no other one does. */
   isWatcher(): boolean {
+    return this.nearWatchers().some(({ id }) => id === this.members.selfId);
+  }
+
+  /** Watchers of the own data centre, the first one first. */
+  nearWatchers(): readonly MemberRow[] {
     const self = this.members.get(this.members.selfId);
-    if (!self) return true;
     const places = new Set<string>();
-    const ownWeight = hashText(self.id);
-    let higher = 0;
+    const near: { readonly row: MemberRow; readonly weight: number }[] = [];
     for (const row of this.members.all()) {
-      if (row.id === self.id || !isEligible(row)) continue;
+      if (row.id !== self?.id && !isEligible(row)) continue;
       places.add(row.dataCentre);
-      if (row.dataCentre === self.dataCentre && hashText(row.id) > ownWeight) higher += 1;
+      if (row.dataCentre !== self?.dataCentre) continue;
+      near.push({ row, weight: hashText(row.id) });
     }
-    places.add(self.dataCentre);
-    return higher < Math.ceil(watchersMin / places.size);
+    near.sort((left, right) => right.weight - left.weight);
+    const count = Math.ceil(watchersMin / Math.max(1, places.size));
+    return near.slice(0, count).map(({ row }) => row);
   }
 }
--- /dev/null
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { SeededRandom } from '@sequoiafield/tables';
+import { pauseClock, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
+import {
+  MemberState,
+  RefusalReason,
+  type HostRoute,
+  type MemberRow,
+  type MemberView,
+} from '@sequoiafield/types';
+import { DestinationSplitters, FleetRetryBudget, HostRouteTable, MeshRouter } from '../index.js';
+
+let clock: PausedClock;
+
+beforeEach(() => {
+  clock = pauseClock();
+});
+
+afterEach(() => clock.resume());
+
+const route = (pathPrefix: string, changes: Partial<HostRoute> = {}): HostRoute => ({
+  name: pathPrefix,
+  host: 'shop.example',
+  pathPrefix,
+  isIdempotent: true,
+  timeoutMs: 500,
+  attemptsMax: 2,
+  targetLatencyMs: 200,
+  rank: 1,
+  destinations: [{ service: 's', weight: 1 }],
+  ...changes,
+});
+
+test('the longest prefix of a host wins, at slashes only', () => {
+  // Guards against a shorter route that takes the requests of a longer one, and against /ab for /a/.
+  const table = new HostRouteTable([route('/a/'), route('/a/b/'), route('/c/', { host: 'x' })]);
+  assert.equal(table.find('shop.example', '/a/b/c')?.pathPrefix, '/a/b/');
+  assert.equal(table.find('Shop.Example:80', '/a/x')?.pathPrefix, '/a/');
+  assert.equal(table.find('shop.example', '/ab'), undefined);
+  assert.equal(table.find('shop.example', '/c/1'), undefined);
+});
+
+test('a split is exact within one request at every moment', () => {
+  // Guards against random shares, which miss a limit of 0.1 at a few requests.
+  const splitters = new DestinationSplitters();
+  const split = route('/a/', {
+    destinations: [
+      { service: 's', weight: 90 },
+      { service: 't', weight: 10 },
+      { service: 'u', weight: 0 },
+    ],
+  });
+  const counts = new Map<string | undefined, number>();
+  for (let sent = 1; sent <= 50; sent++) {
+    const service = splitters.next({ ...split });
+    counts.set(service, (counts.get(service) ?? 0) + 1);
+    assert.ok(Math.abs((counts.get('t') ?? 0) - sent * 0.1) < 1);
+  }
+  assert.equal(counts.get('u'), undefined);
+});
+
+test('repeats of a whole fleet stay under its limit, also when every request fails', async () => {
+  // Guards against nodes that each spend the slack of the fleet.
+  const limit = { ratio: 0.2, slack: 64, windowMs: 10_000 };
+  const nodes = Array.from({ length: 14 }, () => new FleetRetryBudget(limit, () => 14));
+  let requests = 0;
+  let repeats = 0;
+  for (let step = 0; step < 100; step++) {
+    for (const node of nodes) {
+      node.recordRequest('s');
+      requests += 1;
+      while (node.take('s')) repeats += 1;
+    }
+    await clock.advance(90);
+  }
+  assert.ok(repeats <= 0.2 * requests + 64, `${repeats} repeats of ${requests}`);
+  assert.ok(repeats > 0.08 * requests, `${repeats} repeats of ${requests}`);
+});
+
+const member = (id: string, changes: Partial<MemberRow> = {}): MemberRow => ({
+  id,
+  incarnation: 1,
+  address: '10.0.0.1',
+  gossipPort: 1,
+  linkPort: 1,
+  callPort: 1,
+  region: 'r',
+  dataCentre: 'near',
+  service: 's',
+  backendVersion: 'v1',
+  state: MemberState.Alive,
+  configVersion: 0,
+  stateChangedAtMs: 0,
+  ...changes,
+});
+
+const createRouter = (rows: readonly MemberRow[]): [MeshRouter, SampleOrders] => {
+  const orders = new SampleOrders();
+  const members: MemberView = {
+    selfId: 'self',
+    fleetSize: () => rows.length,
+    get: (id) => rows.find((row) => row.id === id),
+    all: () => rows,
+    ofService: (service) => rows.filter((row) => row.service === service),
+  };
+  const router = new MeshRouter({
+    selfId: 'self',
+    dataCentre: 'near',
+    orders,
+    members,
+    retryLimit: { ratio: 0.2, slack: 64, windowMs: 10_000 },
+    random: new SeededRandom(1),
+  });
+  return [router, orders];
+};
+
+test('the near data centre goes first while it has room, then the far one', () => {
+  // Guards against bytes between data centres without need, and against a full near server.
+  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
+  const load = { runningCalls: 9, queuedCalls: 12, slotsNow: 9, meanServiceMs: 40 };
+  router.begin('a');
+  router.report({ memberId: 'a', service: 's', hasFailed: false, latencyMs: 40, load });
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'b');
+});
+
+test('a member that cannot be reached or takes no work is left out for a moment', async () => {
+  // Guards against calls that wait for a dead machine one after the other.
+  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const report = { memberId: 'a', service: 's', hasFailed: true, latencyMs: 1 };
+  router.choose('s', 'v1', new Set());
+  router.begin('a');
+  router.report({ ...report, refusalReason: RefusalReason.ConnectFailed });
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'b');
+  await clock.advance(300);
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
+});
+
+test('members of an evacuated data centre, of another version or tried before are not chosen', () => {
+  // Guards against the round trip to a node that refuses for certain.
+  const rows = [
+    member('a'),
+    member('b', { dataCentre: 'far' }),
+    member('c', { backendVersion: 'v2' }),
+    member('d', { state: MemberState.Draining }),
+  ];
+  const [router, orders] = createRouter(rows);
+  orders.change({ evacuatedDataCentres: new Set(['near']) });
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'b');
+  assert.equal(router.choose('s', 'v1', new Set(['b'])), undefined);
+});
--- /dev/null
+++ b/packages/test-kit/src/mesh-samples.ts
@@ -0,0 +1,34 @@
+import type { MeshOrders, OrdersView } from '@sequoiafield/types';
+
+const noOrders: MeshOrders = {
+  storeRevision: 1,
+  configuration: {
+    version: 1,
+    routes: [],
+    services: new Map([
+      ['s', { name: 's', connectionsMax: 100, coldStartMs: 3000, coldRequestsPerS: 20 }],
+    ]),
+    limits: {
+      headerMaxBytes: 16_384,
+      bodyMaxBytes: 1_000_000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+  },
+  moves: new Map(),
+  moveRecords: new Map(),
+  evacuatedDataCentres: new Set(),
+};
+
+/** Orders that a test changes. */
+export class SampleOrders implements OrdersView {
+  orders = noOrders;
+
+  current(): MeshOrders {
+    return this.orders;
+  }
+
+  change(changes: Partial<MeshOrders>): void {
+    this.orders = { ...this.orders, ...changes };
+  }
+}
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -6,7 +6,8 @@
 import { encodeFrame, FrameKind, readFrames } from './frames.js';
 import type { PeerClock } from './link-clock.js';
 
-const protocolVersion = 2;
+/** Version of the frames; nodes of different versions do not link. */
+export const protocolVersion = 2;
 
 /** Identity of one end of a link. */
 export interface PeerIdentity {
--- a/packages/transport/src/test-support/raw-peer.ts
+++ b/packages/transport/src/test-support/raw-peer.ts
@@ -3,6 +3,7 @@
 import { Priority, type CallOpen } from '@sequoiafield/types';
 import { WebSocket, WebSocketServer } from 'ws';
 import { encodeOpen, encodeValue } from '../call-codec.js';
+import { protocolVersion } from '../connection.js';
 import { encodeFrame, FrameKind, readFrames } from '../frames.js';
 
 interface RawFrame {
@@ -62,7 +63,7 @@
   }
 
   #sendHello(): void {
-    const hello = encodeValue([1, this.id, 1000, monotonicNowMs()]);
+    const hello = encodeValue([protocolVersion, this.id, 1000, monotonicNowMs()]);
     this.send(encodeFrame(FrameKind.Hello, 0, hello));
   }
 
