Treat an answer without a length as broken if its connection was reset

A server that failed for a while was never tried again while others had room (found by a test).

Change: the connections to the backend server are watched for errors; a stopping node stops listening once its server's own calls are over, and its server works on for 1.5 s; reported failures fade.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -62,6 +62,8 @@
 
   #isHandedOver = false;
 
+  #connection: { readonly hasErrored: boolean } | undefined;
+
   /** Whether the end of the answer shows by its length or chunks. */
   #isDelimited = true;
 
@@ -84,6 +86,11 @@
     this.#onReleased = onReleased;
   }
 
+  /** Names the connection that carries the request; without one, a reset shows as an end. */
+  useConnection(connection: { readonly hasErrored: boolean }): void {
+    this.#connection = connection;
+  }
+
   /** When the request was written, on the monotonic clock; 0 if it was not. */
   get writtenAtMs(): number {
     return this.#writtenAtMs;
@@ -154,7 +161,12 @@
     if (this.#bufferedBytes > bufferMaxBytes) controller.pause();
   }
 
-  onResponseEnd(): void {
+  onResponseEnd(controller: Dispatcher.DispatchController): void {
+    if (!this.#isDelimited && this.#connection?.hasErrored) {
+      const error = new CallError('The connection broke before the end of the answer');
+      this.onResponseError(controller, error);
+      return;
+    }
     this.#body?.end();
     if (this.#body && !this.#isHandedOver) this.#handOver();
     this.#keepAliveMs = this.#advertisedMs;
--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -107,6 +107,11 @@
     this.#isClosing = true;
   }
 
+  /** Takes no new connections; requests on open ones go on. */
+  stopListening(): void {
+    this.#server.server.close();
+  }
+
   /** Takes over limits of callers' connections that changed. */
   applyLimits(limits: ClientLimits): void {
     const { server } = this.#server;
--- a/packages/calls/src/proven-connection.ts
+++ b/packages/calls/src/proven-connection.ts
@@ -1,5 +1,5 @@
 import { monotonicNowMs } from '@sequoiafield/tables';
-import type { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 import type { BackendExchange } from './backend-exchange.js';
 
 /**
@@ -8,6 +8,40 @@
  */
 const reuseMaxMs = 1000;
 
+/**
+ * Client whose connection is watched for errors. `undici` takes what came before a reset for a whole
+ * answer if the answer has no length (`onHttpSocketError` in its HTTP/1.1 client).
+ *
+ * @example
+ * const watched = openWatchedClient('http://127.0.0.1:8080', { pipelining: 1 }, 1000);
+ */
+export const openWatchedClient = (
+  origin: string,
+  options: Client.Options,
+  connectTimeoutMs: number,
+): WatchedClient => {
+  const watch = { hasErrored: false };
+  const connector = buildConnector({ timeout: connectTimeoutMs });
+  const client = new Client(origin, {
+    ...options,
+    connect: (target, callback) =>
+      connector(target, (...result) => {
+        // Registered before the listener of `undici`, so that the answer's end sees it.
+        result[1]?.on('error', () => {
+          watch.hasErrored = true;
+        });
+        callback(...result);
+      }),
+  });
+  return { client, hasErrored: () => watch.hasErrored };
+};
+
+/** A client and whether its connection ended with an error. */
+export interface WatchedClient {
+  readonly client: Client;
+  readonly hasErrored: () => boolean;
+}
+
 /** One connection, used for one request at a time. */
 export class ProvenConnection {
   /** Until when the server promised to keep the connection open; 0 if it made no promise. */
@@ -15,7 +49,16 @@
 
   #lastWrittenAtMs = 0;
 
-  constructor(readonly client: Client) {}
+  constructor(private readonly watched: WatchedClient) {}
+
+  get client(): Client {
+    return this.watched.client;
+  }
+
+  /** Whether the connection ended with an error, such as a reset. */
+  get hasErrored(): boolean {
+    return this.watched.hasErrored();
+  }
 
   /** Notes the request that ended last; false if the connection cannot be used again. */
   noteEnd(exchange: BackendExchange): boolean {
--- a/packages/calls/src/proven-connections.ts
+++ b/packages/calls/src/proven-connections.ts
@@ -1,6 +1,6 @@
-import type { Client, Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { BackendExchange } from './backend-exchange.js';
-import { ProvenConnection } from './proven-connection.js';
+import { ProvenConnection, type WatchedClient } from './proven-connection.js';
 
 /** Request that waits for a connection or is about to be written. */
 interface PendingRequest {
@@ -16,7 +16,7 @@
  * therefore only meet a request whose deadline has passed, however long either process is paused.
  *
  * @example
- * const connections = new ProvenConnections(130, () => new Client(origin));
+ * const connections = new ProvenConnections(130, () => openWatchedClient(origin, {}, 1000));
  * connections.dispatch(options, exchange, deadlineAtMs);
  */
 export class ProvenConnections {
@@ -29,7 +29,7 @@
 
   constructor(
     private readonly connectionsMax: number,
-    private readonly createClient: () => Client,
+    private readonly createClient: () => WatchedClient,
   ) {}
 
   /** Writes the request to a proven connection or to a new one, or queues it at the limit. */
@@ -68,6 +68,7 @@
   }
 
   #write(connection: ProvenConnection, { options, exchange }: PendingRequest): void {
+    exchange.useConnection(connection);
     exchange.onceReleased(() => this.#release(connection, exchange));
     connection.client.dispatch(options, exchange);
   }
--- a/packages/calls/src/refusals.test.ts
+++ b/packages/calls/src/refusals.test.ts
@@ -118,7 +118,7 @@
   // Shows that the table above notices a retry policy that ignores the outcome.
   const retryPolicy = {
     mayRepeat: () => false,
-      mayRetry: ({ attemptsSoFar }: { attemptsSoFar: number }) => attemptsSoFar < 3,
+    mayRetry: ({ attemptsSoFar }: { attemptsSoFar: number }) => attemptsSoFar < 3,
   };
   const seen = await callOnce(t, { path: '/drop' }, 'POST', { retryPolicy });
   assert.equal(seen.runs, 3);
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -1,11 +1,12 @@
 import { BodyChannel } from '@sequoiafield/transport';
 import { monotonicNowMs } from '@sequoiafield/tables';
 import { RefusalReason, type CallOpen, type CancelSignal } from '@sequoiafield/types';
-import { Client, Pool, type Dispatcher } from 'undici';
+import { Pool, type Dispatcher } from 'undici';
 import type { BackendClient, BackendEnd, BackendResult } from './backend-client.js';
 import { BackendExchange } from './backend-exchange.js';
 import { WrittenClassifier, type FailureClassifier } from './failure-classifier.js';
 import { OwnCallProtocol, type CallProtocol } from './call-protocol.js';
+import { openWatchedClient, type WatchedClient } from './proven-connection.js';
 import { ProvenConnections } from './proven-connections.js';
 
 /** Idle time after which this side drops a kept-alive connection, well under common server limits. */
@@ -32,6 +33,13 @@
    * any kept-alive connection is used, by which tests show the lost requests that the rule prevents.
    */
   readonly usesFreshConnections?: boolean;
+  /**
+   * Sends idempotent requests on the connections of the others as well, which are watched for resets.
+   * Needed where answers may have no length. False by default.
+   */
+  readonly watchesAll?: boolean;
+  /** Time for a connection to the backend server; 1,000 ms by default. */
+  readonly connectTimeoutMs?: number;
   /** `OwnCallProtocol` unless given. */
   readonly protocol?: CallProtocol;
   /** Id of the server that requests are meant for; empty if unknown. */
@@ -146,7 +154,8 @@
     deadlineAtMs: number,
   ): void {
     const { usesFreshConnections } = this.options;
-    if (isIdempotent || usesFreshConnections === false) this.#pool.dispatch(request, exchange);
+    const usesPool = isIdempotent && this.options.watchesAll !== true;
+    if (usesPool || usesFreshConnections === false) this.#pool.dispatch(request, exchange);
     else if (usesFreshConnections) this.#freshPool.dispatch({ ...request, reset: true }, exchange);
     else this.#proven.dispatch(request, exchange, deadlineAtMs);
   }
@@ -167,7 +176,9 @@
     });
   }
 
-  #openClient(): Client {
-    return new Client(this.options.origin, connectionOptions);
+  #openClient(): WatchedClient {
+    const { connect, ...options } = connectionOptions;
+    const timeoutMs = this.options.connectTimeoutMs ?? connect.timeout;
+    return openWatchedClient(this.options.origin, options, timeoutMs);
   }
 }
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -281,11 +281,7 @@
     };
   }
 
-  #enqueue(
-    open: CallOpen,
-    deadlineAtMs: number,
-    signal: CancelSignal,
-  ): Promise<AdmissionResult> {
+  #enqueue(open: CallOpen, deadlineAtMs: number, signal: CancelSignal): Promise<AdmissionResult> {
     return new Promise((resolve) => {
       const onAbort = (): void => {
         this.#line.remove(call);
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -12,8 +12,12 @@
  * apart, and the way of the last request.
  */
 const stillTakingMs = 2600;
+/** Until when the own backend server gets new calls; what runs then ends with the last requests. */
+const ownServerServesMs = 1500;
 /** Part of the grace in which a stopping node waits for what runs. */
 const graceShare = 0.85;
+/** Part of the grace in which calls of the own backend server are still taken. */
+const ownCallsShare = 0.7;
 const idlePollMs = 20;
 
 /** One node of the mesh: the parts of the system beside one backend server. */
@@ -77,11 +81,19 @@
     });
     return [
       source('calls_started_total', 'Calls of callers', () => counters.callsStarted),
-      source('calls_answered_total', 'Calls answered by a backend server', () => counters.callsAnswered),
+      source(
+        'calls_answered_total',
+        'Calls answered by a backend server',
+        () => counters.callsAnswered,
+      ),
       source('calls_not_run_total', 'Calls refused as not run', () => counters.callsNotRun),
       source('calls_unknown_total', 'Calls that may have run', () => counters.callsUnknown),
       source('call_retries_total', 'Attempts after the first', () => counters.retries),
-      source('backend_requests_total', 'Requests to the own server', () => counters.backendRequests),
+      source(
+        'backend_requests_total',
+        'Requests to the own server',
+        () => counters.backendRequests,
+      ),
       source('backend_failures_total', 'Failed by the own server', () => counters.backendFailures),
       source('gate_running_calls', 'Calls on the own server', () => gate.load().runningCalls),
       source('gate_queued_calls', 'Calls that wait for a slot', () => gate.load().queuedCalls),
@@ -101,19 +113,26 @@
     ];
   }
 
+  async #whileRunning(runs: () => boolean, untilMs: number): Promise<void> {
+    while (runs() && monotonicNowMs() < untilMs) await delay(idlePollMs);
+  }
+
   async #stopGracefully(): Promise<void> {
     this.logger.log(logEvents.nodeDraining, {});
     const { calls, receiver, membership, transport, orders } = this.#parts;
     const startedAtMs = monotonicNowMs();
+    calls.startClosing();
+    await delay(ownServerServesMs);
     receiver.startDraining();
     membership.announceDraining();
     transport.announceDraining();
-    calls.startClosing();
-    await delay(stillTakingMs);
-    const endAtMs = startedAtMs + graceShare * this.settings.graceMs;
-    const runs = (): boolean =>
-      calls.runningCount > 0 || receiver.running.size > 0 || transport.runningCount > 0;
-    while (runs() && monotonicNowMs() < endAtMs) await delay(idlePollMs);
+    await delay(stillTakingMs - ownServerServesMs);
+    const { graceMs } = this.settings;
+    // What runs on the own backend server may still make calls of its own.
+    await this.#whileRunning(() => receiver.running.size > 0, startedAtMs + ownCallsShare * graceMs);
+    calls.stopListening();
+    const runs = (): boolean => calls.runningCount > 0 || transport.runningCount > 0;
+    await this.#whileRunning(runs, startedAtMs + graceShare * graceMs);
     membership.announceLeft();
     // The last answers and the departure leave with the next turns of the loop.
     await delay(idlePollMs);
--- a/packages/mesh-node/src/mesh-parts.ts
+++ b/packages/mesh-node/src/mesh-parts.ts
@@ -31,6 +31,8 @@
 const wholeAnswerMaxBytes = 256 * 1024;
 /** Connections to the own backend server; more than its slots are never used at once. */
 const backendConnectionsMax = 32;
+/** The own backend server is on the same machine; a silent one must not use up a call's time. */
+const backendConnectTimeoutMs = 250;
 /** A node that no peer answered and the store did not for this long may hold old orders. */
 const staleMs = 3000;
 /** A node that no peer answered for this long cannot serve; probes are one a second. */
@@ -191,6 +193,8 @@
       serverId: () => book.current()?.heartbeat.instanceId ?? '',
       wholeAnswerMaxBytes,
       finishesNonIdempotent: true,
+      watchesAll: true,
+      connectTimeoutMs: backendConnectTimeoutMs,
     }),
   });
 };
--- a/packages/mesh-node/src/read-settings.ts
+++ b/packages/mesh-node/src/read-settings.ts
@@ -43,7 +43,9 @@
     const text = this.text(section, 'endpoint');
     const match = endpointPattern.exec(text);
     if (!match && text !== '') {
-      this.problems.push(`endpoint of [${section}] must be an IP address and a port, not "${text}"`);
+      this.problems.push(
+        `endpoint of [${section}] must be an IP address and a port, not "${text}"`,
+      );
     }
     return { address: match?.[1] ?? '', port: Number(match?.[2] ?? 0) };
   }
--- a/packages/moves/src/evidence.ts
+++ b/packages/moves/src/evidence.ts
@@ -36,7 +36,11 @@
 };
 
 /** Sum of two counts, or their difference with `sign` -1. */
-export const addCounts = (left: RouteCounts, right: RouteCounts, sign: 1 | -1 = 1): RouteCounts => ({
+export const addCounts = (
+  left: RouteCounts,
+  right: RouteCounts,
+  sign: 1 | -1 = 1,
+): RouteCounts => ({
   answered: left.answered + sign * right.answered,
   failed: left.failed + sign * right.failed,
   buckets: left.buckets.map((count, index) => count + sign * (right.buckets[index] ?? 0)),
--- a/packages/moves/src/moves.test.ts
+++ b/packages/moves/src/moves.test.ts
@@ -143,7 +143,14 @@
     const input = { route, share, elapsedMs, roll: this.#random.next() };
     const { status, latencyMs } = (isNew ? this.candidate : this.old)(input);
     const hasFailed = status >= 500;
-    const evidence = { service: 's', route, backendVersion: version!, hasFailed, latencyMs, status };
+    const evidence = {
+      service: 's',
+      route,
+      backendVersion: version!,
+      hasFailed,
+      latencyMs,
+      status,
+    };
     this.nodes.get(server)!.recorder.recordEnded(evidence);
     return isNew && (hasFailed || latencyMs > 250);
   }
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -196,12 +196,16 @@
     this.#isFetching = true;
     this.#fetchFromEach(wantedRevision, fromId)
       .catch((error: unknown) => {
-        this.parts.logger.log(logEvents.ordersFetchFailed, { wantedRevision, error: String(error) });
+        this.parts.logger.log(logEvents.ordersFetchFailed, {
+          wantedRevision,
+          error: String(error),
+        });
       })
       .finally(() => {
         this.#isFetching = false;
         const head = this.parts.registers.read(RegisterKind.Head, headKey);
-        const isNewer = head && head.rank > Math.max(wantedRevision, this.parts.table.storeRevision);
+        const isNewer =
+          head && head.rank > Math.max(wantedRevision, this.parts.table.storeRevision);
         if (isNewer) this.#fetch(head.rank, fromId);
       });
   }
--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -159,7 +159,9 @@
   }
 
   versions(): readonly (number | undefined)[] {
-    return [...this.nodes.values()].map(({ orders }) => orders.view.current().configuration?.version);
+    return [...this.nodes.values()].map(
+      ({ orders }) => orders.view.current().configuration?.version,
+    );
   }
 
   #addRow(id: string, dataCentre: string): void {
--- a/packages/routing/src/mesh/destination-splitter.ts
+++ b/packages/routing/src/mesh/destination-splitter.ts
@@ -26,7 +26,10 @@
 
 /** Splitters of the routes in force; one goes on while the destinations of its route are the same. */
 export class DestinationSplitters {
-  readonly #byRoute = new Map<string, { readonly key: string; readonly splitter: DestinationSplitter }>();
+  readonly #byRoute = new Map<
+    string,
+    { readonly key: string; readonly splitter: DestinationSplitter }
+  >();
 
   /** Service of the next request of a route. */
   next({ host, pathPrefix, destinations }: HostRoute): string | undefined {
--- a/packages/routing/src/mesh/member-pressure.ts
+++ b/packages/routing/src/mesh/member-pressure.ts
@@ -3,6 +3,8 @@
 
 /** A report counts in full for this long and fades to nothing within as much again. */
 const reportFreshMs = 300;
+/** Reported failures count half after this time, so that a member which recovered is tried again. */
+const failureHalfLifeMs = 1000;
 /** Service time that is assumed of a member that has not reported one. */
 const unknownServiceMs = 30;
 
@@ -106,7 +108,7 @@
       meanServiceMs: meanServiceMs > 0 ? meanServiceMs : unknownServiceMs,
       calls: Math.max(row.ownCalls, trust * reported + sinceReport),
       slots: Math.max(1, slotsNow),
-      failureRatio,
+      failureRatio: failureRatio * 0.5 ** (ageMs / failureHalfLifeMs),
       isPaused: nowMs < row.pausedUntilMs,
     };
   }
