Split classes into files of their own for the linter

Cause: the linter allows one class in a file; 21 problems in the new packages. Change: fakes of tests, codecs and estimates have files of their own.

--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -79,7 +79,7 @@
 
 const permitOf = (result: AdmissionResult): Permit => {
   assert.equal(result.kind, 'permit');
-  return (result as Extract<AdmissionResult, { kind: 'permit' }>).permit;
+  return result.permit;
 };
 
 const reasonOf = (result: AdmissionResult): RefusalReason | undefined => {
@@ -88,6 +88,19 @@
   return result.refusal.reason;
 };
 
+/** Admits and releases calls one after the other; returns how many were admitted. */
+const admitMany = async (rig: GateRig, count: number): Promise<number> => {
+  let admitted = 0;
+  for (let call = 0; call < count; call++) {
+    const result = await rig.admit();
+    if (result.kind === 'permit') {
+      admitted += 1;
+      result.permit.release({ hasFailed: false, latencyMs: 1 });
+    }
+  }
+  return admitted;
+};
+
 test('no more calls run than the server has slots, and waiting ones go by what is due', async () => {
   // Guards against a server that never answers what it cannot queue.
   const rig = new GateRig();
@@ -202,16 +215,3 @@
   rig.hear();
   assert.equal(reasonOf(await rig.admit({ service: 't' })), RefusalReason.WrongVersion);
 });
-
-/** Admits and releases calls one after the other; returns how many were admitted. */
-async function admitMany(rig: GateRig, count: number): Promise<number> {
-  let admitted = 0;
-  for (let call = 0; call < count; call++) {
-    const result = await rig.admit();
-    if (result.kind === 'permit') {
-      admitted += 1;
-      result.permit.release({ hasFailed: false, latencyMs: 1 });
-    }
-  }
-  return admitted;
-}
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -283,10 +283,7 @@
 
   #enqueue(open: CallOpen, deadlineAtMs: number, signal: CancelSignal): Promise<AdmissionResult> {
     return new Promise((resolve) => {
-      const onAbort = (): void => {
-        this.#line.remove(call);
-        call.settle(this.#refuse(refusal(RefusalReason.Cancelled, 'cancelled while it waited')));
-      };
+      let onAbort = (): void => undefined;
       const call: WaitingCall = {
         open,
         dueAtMs: monotonicNowMs() + this.#targetMs(open.route),
@@ -296,6 +293,10 @@
           resolve(result);
         },
       };
+      onAbort = () => {
+        this.#line.remove(call);
+        call.settle(this.#refuse(refusal(RefusalReason.Cancelled, 'cancelled while it waited')));
+      };
       signal.addEventListener('abort', onAbort);
       this.#line.push(call);
     });
--- a/packages/gate/src/service-times.ts
+++ b/packages/gate/src/service-times.ts
@@ -1,28 +1,7 @@
+import { QuantileEstimate } from './quantile-estimate.js';
+
 /** Weight of one call in the averages: the last 20 calls or so decide. */
 const updateRate = 0.05;
-/** Share of calls whose service time the usual time covers. */
-const usualQuantile = 0.75;
-/** Step of the quantile estimate, as a part of its value. */
-const quantileStep = 0.05;
-
-/** Estimate of a quantile that moves a step with each value (stochastic approximation). */
-class QuantileEstimate {
-  #value = 0;
-
-  get value(): number {
-    return this.#value;
-  }
-
-  add(value: number): void {
-    if (this.#value === 0) {
-      this.#value = value;
-      return;
-    }
-    const direction = value > this.#value ? usualQuantile : usualQuantile - 1;
-    this.#value *= 1 + quantileStep * direction;
-  }
-}
-
 interface RouteTimes {
   meanMs: number;
   readonly usual: QuantileEstimate;
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -129,7 +129,10 @@
     await delay(stillTakingMs - ownServerServesMs);
     const { graceMs } = this.settings;
     // What runs on the own backend server may still make calls of its own.
-    await this.#whileRunning(() => receiver.running.size > 0, startedAtMs + ownCallsShare * graceMs);
+    await this.#whileRunning(
+      () => receiver.running.size > 0,
+      startedAtMs + ownCallsShare * graceMs,
+    );
     calls.stopListening();
     const runs = (): boolean => calls.runningCount > 0 || transport.runningCount > 0;
     await this.#whileRunning(runs, startedAtMs + graceShare * graceMs);
--- a/packages/mesh-node/src/read-settings.ts
+++ b/packages/mesh-node/src/read-settings.ts
@@ -59,7 +59,7 @@
  * const settings = readMeshNodeSettings(await readFile(path, 'utf8'));
  */
 export const readMeshNodeSettings = (text: string): MeshNodeSettings => {
-  const values = new ValueReader(parse(text) as Sections);
+  const values = new ValueReader(parse(text));
   const settings: MeshNodeSettings = {
     id: values.text('node', 'id'),
     address: values.text('node', 'address'),
--- a/packages/orders/src/orders-exchange.ts
+++ b/packages/orders/src/orders-exchange.ts
@@ -1,5 +1,4 @@
 import { DistributionError } from '@sequoiafield/errors';
-import { monotonicNowMs } from '@sequoiafield/tables';
 import { LinkRequestKind, type LinkRequester, type MemberRow } from '@sequoiafield/types';
 import type { OrdersDelta, OrdersTable } from './orders-table.js';
 
@@ -69,17 +68,16 @@
   }
 
   #untilHeld(wantedRevision: number): Promise<void> {
-    const untilMs = monotonicNowMs() + holdMaxMs;
     return new Promise((resolve) => {
       const entry = {
         wantedRevision,
         wake: (): void => {
-          clearTimeout(timer);
           this.#waiting = this.#waiting.filter((other) => other !== entry);
           resolve();
         },
       };
-      const timer = setTimeout(entry.wake, untilMs - monotonicNowMs());
+      // A timer that fires after an earlier wake finds nothing to do.
+      setTimeout(entry.wake, holdMaxMs);
       this.#waiting.push(entry);
     });
   }
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -89,7 +89,7 @@
     this.#isStopped = true;
   }
 
-  run(tick: Tick): void {
+  run(tick: Pick<Tick, 'nowMs'>): void {
     if (this.#isStopped) return;
     this.#noteDoubt(tick.nowMs);
     if (tick.nowMs < this.#retryAtMs) return;
@@ -164,7 +164,7 @@
       )
       .finally(() => {
         this.#isWatching = false;
-        if (this.#failures === 0) this.run({ ...idleTick, nowMs: monotonicNowMs() });
+        if (this.#failures === 0) this.run({ nowMs: monotonicNowMs() });
       });
   }
 
@@ -257,5 +257,3 @@
     this.#isStoreDown = true;
   }
 }
-
-const idleTick: Omit<Tick, 'nowMs'> = { nowUnixMs: 0, elapsedMs: 0, wasPaused: false };
--- /dev/null
+++ b/packages/orders/src/test-support/fleet.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { DistributionError } from '@sequoiafield/errors';
+import { SilentLogger } from '@sequoiafield/logger';
+import { SeededRandom, TickLoop } from '@sequoiafield/tables';
+import {
+  MemberState,
+  type LinkRequester,
+  type MemberRow,
+  type MemberView,
+  type RegisterEntry,
+  type RegisterGossip,
+} from '@sequoiafield/types';
+import { createOrders, type Orders } from '../index.js';
+import { decodeText, type FakeStore } from './fake-store.js';
+
+type Handler = (body: unknown, fromId: string) => unknown;
+
+/** A fleet of nodes that share registers and links at once. */
+export class Fleet {
+  readonly nodes = new Map<string, { readonly orders: Orders; readonly store: FakeStore }>();
+
+  readonly #handlers = new Map<string, Handler>();
+
+  readonly #subscribers: ((entry: RegisterEntry, fromId: string) => void)[] = [];
+
+  readonly #rows: MemberRow[] = [];
+
+  #head: RegisterEntry | undefined;
+
+  isLinked = true;
+
+  constructor(places: readonly string[], storeOf: (id: string) => FakeStore) {
+    places.forEach((place, index) => this.#addRow(`n${index}`, place));
+    for (const { id } of this.#rows) this.#addNode(id, storeOf(id));
+  }
+
+  versions(): readonly (number | undefined)[] {
+    return [...this.nodes.values()].map(
+      ({ orders }) => orders.view.current().configuration?.version,
+    );
+  }
+
+  #addRow(id: string, dataCentre: string): void {
+    this.#rows.push({
+      ...{ id, dataCentre, incarnation: 1, address: id, gossipPort: 1, linkPort: 1, callPort: 1 },
+      ...{ region: 'r', service: '', backendVersion: '', state: MemberState.Alive },
+      ...{ configVersion: 0, stateChangedAtMs: 0 },
+    });
+  }
+
+  #addNode(id: string, store: FakeStore): void {
+    const members: MemberView = {
+      selfId: id,
+      fleetSize: () => this.#rows.length,
+      get: (other) => this.#rows.find((row) => row.id === other),
+      all: () => this.#rows,
+      ofService: () => [],
+    };
+    const orders = createOrders({
+      ...{ store, members, ordersPrefix: 'op/', recordsPrefix: 'status/' },
+      decoder: { decode: decodeText },
+      registers: this.#registers(id),
+      links: this.#links(id),
+      random: new SeededRandom(Number(id.slice(1)) + 1),
+      logger: new SilentLogger(),
+      onChanged: () => undefined,
+    });
+    this.nodes.set(id, { orders, store });
+    new TickLoop([...orders.systems], (_, error) => assert.fail(String(error))).start();
+  }
+
+  #registers(id: string): RegisterGossip {
+    return {
+      publish: (entry) => {
+        if (entry.rank <= (this.#head?.rank ?? 0)) return false;
+        this.#head = entry;
+        this.#subscribers.forEach((handler) => handler(entry, id));
+        return true;
+      },
+      read: () => this.#head,
+      subscribe: (_, handler) => this.#subscribers.push(handler),
+    };
+  }
+
+  #links(id: string): LinkRequester {
+    return {
+      handle: (_, handler) => this.#handlers.set(id, handler),
+      request: async (member, _, body) => {
+        if (!this.isLinked) throw new DistributionError('no link');
+        return this.#handlers.get(member.id)?.(body, id);
+      },
+    };
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,7 +10,7 @@
 export * from './routing-mechanisms.js';
 export { RampedDataCentreWeights } from './ramped-data-centre-weights.js';
 export { TwoChoices } from './two-choices.js';
-export { DestinationSplitter, DestinationSplitters } from './mesh/destination-splitter.js';
+export { DestinationSplitters } from './mesh/destination-splitters.js';
 export { FleetRetryBudget, type RetryLimit } from './mesh/fleet-retry-budget.js';
 export { HostRouteTable } from './mesh/host-route-table.js';
 export { MeshRouter, type MeshRouterSources } from './mesh/mesh-router.js';
--- a/packages/routing/src/mesh/destination-splitter.ts
+++ b/packages/routing/src/mesh/destination-splitter.ts
@@ -1,4 +1,4 @@
-import type { HostRoute, WeightedDestination } from '@sequoiafield/types';
+import type { WeightedDestination } from '@sequoiafield/types';
 
 /** Smooth weighted round robin of one route: shares are exact at every moment. */
 export class DestinationSplitter {
@@ -23,24 +23,3 @@
     return this.destinations[best]?.service;
   }
 }
-
-/** Splitters of the routes in force; one goes on while the destinations of its route are the same. */
-export class DestinationSplitters {
-  readonly #byRoute = new Map<
-    string,
-    { readonly key: string; readonly splitter: DestinationSplitter }
-  >();
-
-  /** Service of the next request of a route. */
-  next({ host, pathPrefix, destinations }: HostRoute): string | undefined {
-    if (destinations.length === 1) return destinations[0]?.service;
-    const id = `${host}${pathPrefix}`;
-    const key = destinations.map(({ service, weight }) => `${service}=${weight}`).join(' ');
-    let known = this.#byRoute.get(id);
-    if (known?.key !== key) {
-      known = { key, splitter: new DestinationSplitter(destinations) };
-      this.#byRoute.set(id, known);
-    }
-    return known.splitter.next();
-  }
-}
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -140,7 +140,13 @@
 test('a member that failed and got no call since is tried again', async () => {
   // Guards against a server that recovered and stays unused while others have room.
   const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
-  const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 9, meanServiceMs: 20, failureRatio: 0.6 };
+  const load = {
+    runningCalls: 0,
+    queuedCalls: 0,
+    slotsNow: 9,
+    meanServiceMs: 20,
+    failureRatio: 0.6,
+  };
   router.choose('s', 'v1', new Set());
   router.begin('a');
   router.report({ memberId: 'a', service: 's', hasFailed: true, latencyMs: 1, load });
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -9,7 +9,7 @@
   type RouteMatch,
   type Router,
 } from '@sequoiafield/types';
-import { DestinationSplitters } from './destination-splitter.js';
+import { DestinationSplitters } from './destination-splitters.js';
 import { FleetRetryBudget, type RetryLimit } from './fleet-retry-budget.js';
 import { HostRouteTable } from './host-route-table.js';
 import { MemberPressure } from './member-pressure.js';
