--- a/packages/integration-tests/src/cold-turn.test.ts
+++ b/packages/integration-tests/src/cold-turn.test.ts
@@ -82,7 +82,7 @@
 after(() => mesh.stop());
 
 // Listed in KNOWN-RED.txt: the test runs and is printed, but does not fail the run.
-const options = { todo: 'KNOWN-RED.txt, issue 4' };
+const options = { todo: 'KNOWN-RED.txt, issue 9' };
 
 test('a backend server that turns cold twice gets what it bears', options, async (context) => {
   // Guards against a full load on a server that lost its caches, and against lookups that fail
