Let reported slowness fade like reported failures

Change: a reported time above that of an unknown member fades by half each second. Ruled out: leaked permits (0 running), a drain that stays (announced again).

--- a/packages/routing/src/mesh/member-pressure.ts
+++ b/packages/routing/src/mesh/member-pressure.ts
@@ -3,8 +3,11 @@
 
 /** A report counts in full for this long and fades to nothing within as much again. */
 const reportFreshMs = 300;
-/** Reported failures count half after this time, so that a member which recovered is tried again. */
-const failureHalfLifeMs = 1000;
+/**
+ * Reported failures and slowness count half after this time, so that a member which recovered is tried
+ * again although others have room.
+ */
+const badnessHalfLifeMs = 1000;
 /** Service time that is assumed of a member that has not reported one. */
 const unknownServiceMs = 30;
 
@@ -104,15 +107,23 @@
     const reported = row.load.runningCalls + row.load.queuedCalls;
     const sinceReport = Math.max(0, row.ownCalls - row.ownCallsAtReport);
     const { meanServiceMs = 0, failureRatio = 0, slotsNow } = row.load;
+    const fade = 0.5 ** (ageMs / badnessHalfLifeMs);
     return {
-      meanServiceMs: meanServiceMs > 0 ? meanServiceMs : unknownServiceMs,
+      meanServiceMs: this.#expectedServiceMs(meanServiceMs, fade),
       calls: Math.max(row.ownCalls, trust * reported + sinceReport),
       slots: Math.max(1, slotsNow),
-      failureRatio: failureRatio * 0.5 ** (ageMs / failureHalfLifeMs),
+      failureRatio: failureRatio * fade,
       isPaused: nowMs < row.pausedUntilMs,
     };
   }
 
+  /** A slow member's time fades to that of an unknown one; a fast member's time stays. */
+  #expectedServiceMs(reportedMs: number, fade: number): number {
+    if (reportedMs === 0) return unknownServiceMs;
+    if (reportedMs <= unknownServiceMs) return reportedMs;
+    return unknownServiceMs + (reportedMs - unknownServiceMs) * fade;
+  }
+
   pausedUntilMs(memberId: string): number {
     return this.#rows.get(memberId)?.pausedUntilMs ?? 0;
   }
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -155,6 +155,18 @@
   assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
 });
 
+test('a member that was slow and got no call since is tried again', async () => {
+  // Guards against a server that was slow once and stays unused while others have room.
+  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 9, meanServiceMs: 600 };
+  router.choose('s', 'v1', new Set());
+  router.begin('a');
+  router.report({ memberId: 'a', service: 's', hasFailed: false, latencyMs: 600, load });
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'b');
+  await clock.advance(8000);
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
+});
+
 test('members of an evacuated data centre, of another version or tried before are not chosen', () => {
   // Guards against the round trip to a node that refuses for certain.
   const rows = [
