Write no request to the backend server after its deadline

The deadline was checked before the call was handed to the HTTP client, but not when its connection opened. A node without processor time handles the open connection before the timer and the cancel.

Ruled out: the clock of the link (a lower bound, so that a deadline is never too late), and the waiting line (its calls are checked when they start).

Before: the new test writes the request. After: it is refused as not run. reset-answers.test.ts used a deadline of 0, which meant nothing before; it now names one that never passes.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -110,6 +110,11 @@
   /** Called right before the request is written to an open connection. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
+    // A node that gets too little processor time learns of an open connection before it learns of the
+    // cancel or runs the timer.
+    if (this.open.deadlineAtMs <= monotonicNowMs()) {
+      this.#abortReason ??= RefusalReason.DeadlinePassed;
+    }
     if (this.#abortReason !== undefined) {
       controller.abort(new CallError('The call was cancelled before it was written'));
     } else if (this.#wasWritten && !this.open.isIdempotent) {
--- /dev/null
+++ b/packages/calls/src/late-writes.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { monotonicNowMs } from '@sequoiafield/tables';
+import { RefusalOutcome, RefusalReason, type CallOpen } from '@sequoiafield/types';
+import type { Dispatcher } from 'undici';
+import { BackendExchange } from './backend-exchange.js';
+import { OwnCallProtocol } from './call-protocol.js';
+import { WrittenClassifier } from './failure-classifier.js';
+
+const createOpen = (deadlineAtMs: number): CallOpen => ({
+  requestId: 'r',
+  attempt: { senderId: 'a', senderIncarnation: 1, sequence: 1, receiverIncarnation: 1 },
+  service: 's',
+  route: 'route',
+  backendVersion: 'v1',
+  configVersion: 1,
+  priority: 2,
+  isIdempotent: true,
+  deadlineAtMs,
+  method: 'GET',
+  path: '/',
+  headers: [],
+});
+
+/** Lets a connection open at once; says whether the request would then be written. */
+const startExchange = (
+  deadlineAtMs: number,
+): { wasAborted: boolean; exchange: BackendExchange } => {
+  const exchange = new BackendExchange(createOpen(deadlineAtMs), {
+    classifier: new WrittenClassifier(),
+    protocol: new OwnCallProtocol(),
+    wholeAnswerMaxBytes: 0,
+  });
+  let wasAborted = false;
+  const controller: Partial<Dispatcher.DispatchController> = {
+    abort: (error) => {
+      wasAborted = true;
+      exchange.onResponseError(controller as Dispatcher.DispatchController, error);
+    },
+  };
+  exchange.onRequestStart(controller as Dispatcher.DispatchController);
+  return { wasAborted, exchange };
+};
+
+test('a request is not written once its deadline has passed', async () => {
+  // Guards against a starved node whose connection opens before its timer or the cancel is handled.
+  const { wasAborted, exchange } = startExchange(monotonicNowMs() - 1);
+  assert.equal(wasAborted, true);
+  const result = await exchange.result;
+  assert.ok(result.kind === 'refusal');
+  assert.equal(result.refusal.outcome, RefusalOutcome.NotRun);
+  assert.equal(result.refusal.reason, RefusalReason.DeadlinePassed);
+});
+
+test('a request is written while its deadline lasts', () => {
+  // Guards against the check above refusing what could be answered.
+  assert.equal(startExchange(monotonicNowMs() + 1000).wasAborted, false);
+});
--- a/packages/calls/src/reset-answers.test.ts
+++ b/packages/calls/src/reset-answers.test.ts
@@ -20,7 +20,7 @@
   configVersion: 1,
   priority: 1,
   isIdempotent: true,
-  deadlineAtMs: 0,
+  deadlineAtMs: Number.MAX_SAFE_INTEGER,
   method: 'GET',
   path: '/',
   headers: [['host', 'h']],
