--- a/packages/cli/src/commands/node.ts
+++ b/packages/cli/src/commands/node.ts
@@ -24,7 +24,7 @@
     env: process.env,
     overrides: readOverrides(set),
   });
-  const logger = new JsonLogger({ node: settings.node.id }, settings.log.level);
+  const logger = new JsonLogger({ node: settings.node.id }, { level: settings.log.level });
   const node = await NodeProcess.create(settings, logger);
   const ports = await node.start();
   console.log(JSON.stringify({ id: settings.node.id, ...ports }));
--- a/packages/logger/src/catalogue.ts
+++ b/packages/logger/src/catalogue.ts
@@ -71,6 +71,12 @@
     'settingsChanged',
     'The settings file was read again; what needs a restart is named.',
   ),
+  logLinesDropped: defineEvent(
+    1009,
+    EventLevel.Warn,
+    'logLinesDropped',
+    'Lines that were left out because nobody read the log fast enough.',
+  ),
   settingsRefused: defineEvent(
     1007,
     EventLevel.Error,
--- a/packages/logger/src/json-logger.ts
+++ b/packages/logger/src/json-logger.ts
@@ -1,21 +1,65 @@
+import type { Writable } from 'node:stream';
 import winston from 'winston';
-import type { LogEvent } from './catalogue.js';
+import { logEvents, type LogEvent } from './catalogue.js';
 import type { Logger } from './logger.js';
 
-/** Writes one JSON line per event to standard error, so that standard output stays for results. */
+/** Bytes that wait for the reader of the log at most; a thousand lines or so. */
+const waitingMaxBytes = 256 * 1024;
+
+/** Where and how a process logs. */
+export interface JsonLoggerOptions {
+  readonly level?: string;
+  /** Standard error unless given, so that standard output stays for results. */
+  readonly output?: Writable;
+}
+
+/**
+ * Writes one JSON line per event. A reader that stalls costs lines, which are counted, and neither time
+ * nor memory of the process.
+ *
+ * @example
+ * const logger = new JsonLogger({ node: 'a' }, { output: process.stdout });
+ * logger.log(logEvents.nodeStarted, { id: 'a' });
+ */
 export class JsonLogger implements Logger {
   readonly #winston: winston.Logger;
 
-  constructor(baseFields: Readonly<Record<string, unknown>> = {}, level = 'info') {
+  readonly #output: Writable;
+
+  #dropped = 0;
+
+  #isBroken = false;
+
+  constructor(
+    baseFields: Readonly<Record<string, unknown>> = {},
+    { level = 'info', output = process.stderr }: JsonLoggerOptions = {},
+  ) {
+    this.#output = output;
+    // There is nowhere left to say it; the process serves on without a log.
+    output.on('error', () => {
+      this.#isBroken = true;
+    });
     this.#winston = winston.createLogger({
       level,
       defaultMeta: baseFields,
       format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-      transports: [new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info'] })],
+      transports: [new winston.transports.Stream({ stream: output, eol: '\n' })],
     });
   }
 
   log(event: LogEvent, fields: Readonly<Record<string, unknown>> = {}): void {
+    if (this.#isBroken || this.#output.writableLength > waitingMaxBytes) {
+      this.#dropped += 1;
+      return;
+    }
+    if (this.#dropped > 0) {
+      this.#write(logEvents.logLinesDropped, { dropped: this.#dropped });
+      this.#dropped = 0;
+    }
+    this.#write(event, fields);
+  }
+
+  #write(event: LogEvent, fields: Readonly<Record<string, unknown>>): void {
     this.#winston.log(event.level, event.name, { ...fields, event: event.number });
   }
 }
