Let peers meet a node that restarts while the store is away

They could read neither the seeds nor the configuration, and peers probe only members that died, not those that left. Now one departed member, dead or left, is probed each 2 s by each node, and a node that is met pulls the rows without waiting for the seeds. Costs half a datagram a second per node while a member is gone. Before: the new test ends with 1 of 8 members known; after: all.

--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -31,6 +31,7 @@
   index: number,
   service = 'rounds',
   changes: Partial<MemberAnnouncement> = {},
+  knowsSeeds = true,
 ): Promise<Node> => {
   const self: MemberAnnouncement = {
     id: `node-${String(index).padStart(3, '0')}`,
@@ -58,7 +59,7 @@
   });
   await membership.start();
   const seeds = nodes.slice(0, 4).map((node) => node.self);
-  membership.join(seeds);
+  if (knowsSeeds) membership.join(seeds);
   loop.start();
   const node = { self, membership, loop };
   nodes[index - 1] = node;
@@ -128,6 +129,21 @@
   assert.ok(Math.max(...joinedAfterMs) <= 700, `joined after ${joinedAfterMs.join(' ')} ms`);
 });
 
+test('a node that restarts without a store is met by its peers', async () => {
+  // Guards against a rolling restart during an outage of the store, after which no node knows another.
+  await startFleet(8);
+  const others = nodes.slice(0, 7);
+  const former = nodes[7] as Node;
+  former.membership.announceLeft();
+  await clock.advance(200, 20);
+  kill(former);
+  await clock.advance(1000, 20);
+  const { membership, self } = await startNode(8, 'rounds', {}, false);
+  await clock.advance(5000, 20);
+  assert.equal(membership.view.fleetSize(), 8);
+  assert.deepEqual(beliefsOf(self.id, others), { Alive: 7 });
+});
+
 test('a process whose clock is behind that of its former life becomes known', async () => {
   // Guards against a member on a new machine with a slower clock that the fleet ignores, and against
   // calls that name the former life's incarnation: only the announcement may be raised.
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -29,8 +29,11 @@
 const ackTimeoutMs = 300;
 const helpTimeoutMs = 400;
 const verdictMs = 1000;
-/** A dead member is probed this often, so that a healed partition is noticed without an operator. */
-const deadProbeIntervalMs = 5000;
+/**
+ * One member that is dead or left is probed this often, so that a healed partition is noticed without
+ * an operator, and a node that restarts while the store is away is met by its peers.
+ */
+const departedProbeIntervalMs = 2000;
 /** A node that heard no ack for this long is cut off itself and suspects nobody. */
 const deafMs = 3500;
 
@@ -54,7 +57,7 @@
 
   #nextProbeAtMs = 0;
 
-  #nextDeadProbeAtMs = 0;
+  #nextDepartedProbeAtMs = 0;
 
   #ackedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -97,9 +100,9 @@
       this.#nextProbeAtMs = Math.max(this.#nextProbeAtMs + probeIntervalMs, tick.nowMs);
       this.#probeNext(tick.nowMs);
     }
-    if (tick.nowMs >= this.#nextDeadProbeAtMs) {
-      this.#nextDeadProbeAtMs = tick.nowMs + deadProbeIntervalMs;
-      this.#probeDead();
+    if (tick.nowMs >= this.#nextDepartedProbeAtMs) {
+      this.#nextDepartedProbeAtMs = tick.nowMs + departedProbeIntervalMs;
+      this.#probeDeparted();
     }
   }
 
@@ -144,9 +147,11 @@
     return undefined;
   }
 
-  #probeDead(): void {
-    const dead = [...this.members.rows.rows()].filter((row) => row.state === MemberState.Dead);
-    const target = dead[this.random.below(dead.length)];
+  #probeDeparted(): void {
+    const departed = [...this.members.rows.rows()].filter(
+      ({ state }) => state === MemberState.Dead || state === MemberState.Left,
+    );
+    const target = departed[this.random.below(departed.length)];
     if (target) this.#ping(target);
   }
 
