Explain a failed request with the calls within its run

explain shows lines of calls that are named after the request, and forgets what a former process of a node believed.

--- a/packages/cli/src/explain-request.ts
+++ b/packages/cli/src/explain-request.ts
@@ -22,6 +22,8 @@
   'memberDead',
 ]);
 
+const startEvent = 'nodeStarted';
+
 const ownFields: ReadonlySet<string> = new Set(['node', 'timestamp', 'message', 'level', 'event']);
 
 /**
@@ -52,15 +54,20 @@
   return `${atText} ${node} ${name} ${texts.join(' ')}`;
 };
 
+/** Whether a line is about a request, or about a call that a run of it made and named after it. */
+const isAbout = (line: LogLine, requestId: string): boolean =>
+  line.requestId === requestId || line.requestId?.startsWith(`${requestId}.`) === true;
+
 /**
- * Lines about one request in the order of their times, after what each named node believed last.
+ * Lines about one request and the calls within its runs in the order of their times, after what each
+ * named node believed last.
  *
  * @example
  * explainRequest('9c41d07be2a35f68', lines).forEach((line) => console.log(line));
  */
 export const explainRequest = (requestId: string, lines: readonly LogLine[]): readonly string[] => {
   const sorted = [...lines].sort((left, right) => (left.atText < right.atText ? -1 : 1));
-  const own = sorted.filter((line) => line.requestId === requestId);
+  const own = sorted.filter((line) => isAbout(line, requestId));
   const [first] = own;
   if (!first) return [];
   const nodes = new Set(
@@ -69,7 +76,14 @@
   const beliefs = new Map<string, LogLine>();
   for (const line of sorted) {
     const isBefore = line.atText <= first.atText && nodes.has(line.node);
-    if (isBefore && beliefEvents.has(line.name)) beliefs.set(`${line.node} ${line.name}`, line);
+    if (!isBefore || !beliefEvents.has(line.name)) continue;
+    if (line.name === startEvent) {
+      // A new process knows nothing of what the former one believed.
+      for (const key of [...beliefs.keys()]) {
+        if (key.startsWith(`${line.node} `)) beliefs.delete(key);
+      }
+    }
+    beliefs.set(`${line.node} ${line.name}`, line);
   }
   return [
     'What the nodes believed:',
