Place a call among the versions of a move once

Cause: each attempt of a call rolled its version anew, so that a call whose old version had no room got the new one with a higher chance than its share: 50 of 200 calls at a share of 10 % in the new test, 20 are expected. Under overload that works against the exposure bound. A call that failed on the new version now goes to the old one.

--- a/packages/calls/src/call-run.test.ts
+++ b/packages/calls/src/call-run.test.ts
@@ -52,11 +52,12 @@
 /** Runs one call in the middle of a move, with the members that have room by version. */
 const runWith = async (
   membersOf: Readonly<Record<string, MemberRow>>,
+  { seed = 1, newShare = 1 } = {},
 ): Promise<{ result: CallResult; sentTo: string[] }> => {
   const sentTo: string[] = [];
   const options: Partial<CallPathOptions> = {
     rollout: {
-      chooseVersion: (_service, roll) => (roll < 1 ? 'new' : 'old'),
+      chooseVersion: (_service, roll) => (roll < newShare ? 'new' : 'old'),
       isAllowed: () => true,
       statuses: () => [],
     },
@@ -77,7 +78,7 @@
     },
     self: { ...member, id: 'near' },
     sequence: new AttemptSequence(),
-    random: new SeededRandom(1),
+    random: new SeededRandom(seed),
   };
   const { signal } = new AbortController();
   const policy = new ReachedServerRetryPolicy();
@@ -90,6 +91,17 @@
   assert.deepEqual((await runWith({ old: member })).sentTo, ['old-1']);
 });
 
+test('a call of the old version does not go to the new one for want of room', async () => {
+  // Guards against a new version that gets more than its share while the old one is full.
+  const newMember = { ...member, id: 'new-1', backendVersion: 'new' };
+  const sent = await Promise.all(
+    Array.from({ length: 200 }, (_, seed) => runWith({ new: newMember }, { seed, newShare: 0.1 })),
+  );
+  const sentToNew = sent.filter(({ sentTo }) => sentTo.includes('new-1')).length;
+  // 20 are expected; three standard deviations more are 33.
+  assert.ok(sentToNew <= 33, `${sentToNew} of 200 calls`);
+});
+
 test('a call that no server has room for is refused at once and told when to come back', async () => {
   // Guards against a refusal that names no reason, and against a round trip to each full server.
   const { result, sentTo } = await runWith({});
--- a/packages/calls/src/call-run.ts
+++ b/packages/calls/src/call-run.ts
@@ -55,6 +55,9 @@
   /** Version that was chosen last. */
   #version = '';
 
+  /** Places the call among those of a move, once, so that its attempts do not raise a version's share. */
+  readonly #roll: number;
+
   /** Latest refusal of a member, which says more than that no other member is left. */
   #lastRefusal: CallRefusal | undefined;
 
@@ -64,7 +67,9 @@
     private readonly policy: RetryPolicy,
     private readonly counters: CallCounters,
     private readonly signal: CancelSignal,
-  ) {}
+  ) {
+    this.#roll = options.random.next();
+  }
 
   /** Result of the call; a refusal says "not run" only if that is true of every attempt. */
   async run(): Promise<CallResult> {
@@ -77,6 +82,8 @@
         this.#sentToServers += 1;
         if (!this.#mayRepeat(result.answer)) return result;
         this.#failedAnswer = result.answer;
+        // A call that failed on the new version of a move is better off with the old one.
+        if (this.#version !== this.#oldVersion()) this.#refusedVersions.add(this.#version);
       } else {
         const { refusal } = result;
         if (hasReachedServer(refusal.outcome, refusal.reason)) this.#sentToServers += 1;
@@ -141,18 +148,21 @@
   }
 
   #chooseVersion(): string {
-    const { rollout, random } = this.options;
     const { service } = this.call.match;
-    const version = rollout.chooseVersion(service.name, random.next());
+    const version = this.options.rollout.chooseVersion(service.name, this.#roll);
     if (version === undefined) return service.stableVersion;
     // A version that refused this call once is not asked a second time. The old version of the move
     // is not the stable one of the configuration where an earlier move is done but not written down.
     if (!this.#refusedVersions.has(version)) return version;
-    const oldVersion = rollout.chooseVersion(service.name, rollOfOldVersion);
+    const oldVersion = this.#oldVersion();
     const isOldLeft = oldVersion !== undefined && !this.#refusedVersions.has(oldVersion);
     return isOldLeft ? oldVersion : service.stableVersion;
   }
 
+  #oldVersion(): string | undefined {
+    return this.options.rollout.chooseVersion(this.call.match.service.name, rollOfOldVersion);
+  }
+
   /** Result of one more member, or undefined if none is left. */
   async #attempt(): Promise<CallResult | undefined> {
     const { router } = this.options;
@@ -161,13 +171,14 @@
     this.#version = version;
     let member = router.choose(service.name, version, this.#tried, route.name);
     if (!member) {
-      // The other version of a move may have room.
-      this.#refusedVersions.add(version);
-      const other = this.#chooseVersion();
-      if (other !== version) member = router.choose(service.name, other, this.#tried, route.name);
+      // Only from the new version to the old one, since the other way would raise the new one's share.
+      const oldVersion = this.#oldVersion();
+      if (oldVersion === undefined || oldVersion === version) return undefined;
+      version = oldVersion;
+      member = router.choose(service.name, version, this.#tried, route.name);
       if (!member) return undefined;
-      version = other;
     }
+    this.#version = version;
     this.#attempts += 1;
     this.#tried.add(member.id);
     router.begin(member.id);
