Pass no request on whose caller left while the node stood still

The deadline is told as time left, so that a node which reads the request late counts it from then; the close is read in the next turn of the loop. Ruled out: the check of the deadline at the write (in that code already) and the clock of the link.

--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -20,6 +20,7 @@
 import { OwnCallProtocol, type CallProtocol } from './call-protocol.js';
 import { forwardHeaders } from './headers.js';
 import { pathOf, readDeadlineMs, readRequestId } from './inbound-call.js';
+import { LoopLag } from './loop-lag.js';
 import { notRun, refused, statusOf } from './refusals.js';
 import { RequestBodyReader, type RequestBody } from './request-body.js';
 import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
@@ -40,6 +41,8 @@
 
   readonly #running = new RunningCalls();
 
+  readonly #lag = new LoopLag();
+
   readonly #protocol: CallProtocol;
 
   #isDraining = false;
@@ -75,6 +78,7 @@
 
   /** Listens for callers; rejects with a `CallError` if the port is taken. */
   async start(): Promise<void> {
+    this.#lag.start();
     const { address, callPort } = this.options.self;
     try {
       await this.#server.listen({ host: address, port: callPort });
@@ -122,6 +126,7 @@
 
   /** Ends at once; running calls are cut. */
   async stop(): Promise<void> {
+    this.#lag.stop();
     this.#server.server.closeAllConnections();
     await this.#server.close();
   }
@@ -143,6 +148,22 @@
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#lag.isBehind()) {
+      this.#begin(request, response);
+      return;
+    }
+    // A caller that gave up meanwhile has closed its connection; that is read one turn of the loop after
+    // the request.
+    setImmediate(() => {
+      setImmediate(() => {
+        const { socket } = request;
+        if (socket.readableEnded || socket.destroyed) response.destroy();
+        else this.#begin(request, response);
+      });
+    });
+  }
+
+  #begin(request: IncomingMessage, response: ServerResponse): void {
     this.#handle(request, response).catch(() => response.destroy());
   }
 
