Count the wait for a caller's close towards the deadline

Cause: the wait that brought for a node that is behind came before the deadline was computed, which extended it by a turn of the loop (0.6 s in the logs of a starved node). The deadline now counts from the moment at which the request was read.

--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -148,8 +148,10 @@
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
+    // Time in which the node waits for the close counts towards the deadline.
+    const arrivedAtMs = monotonicNowMs();
     if (!this.#lag.isBehind()) {
-      this.#begin(request, response);
+      this.#begin(request, response, arrivedAtMs);
       return;
     }
     // A caller that gave up meanwhile has closed its connection; that is read one turn of the loop after
@@ -158,16 +160,20 @@
       setImmediate(() => {
         const { socket } = request;
         if (socket.readableEnded || socket.destroyed) response.destroy();
-        else this.#begin(request, response);
+        else this.#begin(request, response, arrivedAtMs);
       });
     });
   }
 
-  #begin(request: IncomingMessage, response: ServerResponse): void {
-    this.#handle(request, response).catch(() => response.destroy());
+  #begin(request: IncomingMessage, response: ServerResponse, arrivedAtMs: number): void {
+    this.#handle(request, response, arrivedAtMs).catch(() => response.destroy());
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAtMs: number,
+  ): Promise<void> {
     const requestId = readRequestId(request, this.#protocol) ?? this.#nextRequestId();
     const finish = this.#running.begin(requestId);
     const scope = new CallScope();
@@ -177,11 +183,16 @@
     });
     const isClosing = (): boolean => this.#isClosing;
     const writer = new AnswerWriter(response, requestId, this.#protocol, isClosing);
-    const result = await this.#carry(request, requestId, scope);
+    const result = await this.#carry(request, requestId, scope, arrivedAtMs);
     await this.#write(result, writer, !request.complete);
   }
 
-  async #carry(request: IncomingMessage, requestId: string, scope: CallScope): Promise<CallResult> {
+  async #carry(
+    request: IncomingMessage,
+    requestId: string,
+    scope: CallScope,
+    arrivedAtMs: number,
+  ): Promise<CallResult> {
     const method = request.method ?? 'GET';
     const path = request.url ?? '/';
     const host = request.headers.host ?? '';
@@ -190,10 +201,10 @@
     if (refusal) return refused(refusal);
     if (!match) return refused(notRun(RefusalReason.NoRoute, `no route for ${method} ${path}`));
     const deadlineMs = readDeadlineMs(request, match.route.deadlineMs, this.#protocol);
-    if (deadlineMs <= 0) {
+    const deadlineAtMs = arrivedAtMs + deadlineMs;
+    if (deadlineAtMs <= monotonicNowMs()) {
       return refused(notRun(RefusalReason.DeadlinePassed, 'the caller waits no longer'));
     }
-    const deadlineAtMs = monotonicNowMs() + deadlineMs;
     scope.startDeadline(deadlineAtMs);
     let body: RequestBody;
     try {
