Choose a member with less work, and forget refusals that are over

Found by reading the change: each choice built the whole load of every candidate twice to read one flag, and refusals for want of room stayed in memory for each member and route until the member was gone. The waiting line copied itself for each call that it took; a check got five parameters where four do. Time per choice was not measured.

--- a/packages/calls/src/call-run.ts
+++ b/packages/calls/src/call-run.ts
@@ -77,7 +77,7 @@
     this.options.router.recordFirstAttempt(match.service.name);
     for (;;) {
       const result = await this.#attempt();
-      if (!result) return this.#giveUp(this.#lastRefusal ?? this.#noMember(this.#version));
+      if (!result) return this.#giveUp(this.#lastRefusal ?? this.#noMember());
       if (result.kind === 'answer') {
         this.#sentToServers += 1;
         if (!this.#mayRepeat(result.answer)) return result;
@@ -188,14 +188,15 @@
     return this.#onRefusal(result.refusal, member, version, startedAtMs);
   }
 
-  #noMember(version: string): CallRefusal {
+  /** Refusal of a call that no member was asked for. */
+  #noMember(): CallRefusal {
     const { route, service } = this.call.match;
-    const retryAfterMs = this.options.router.fullForMs?.(service.name, version, route.name);
+    const retryAfterMs = this.options.router.fullForMs?.(service.name, this.#version, route.name);
+    const servers = `${service.name} ${this.#version}`;
     if (retryAfterMs === undefined) {
-      const detail = `no backend server of ${service.name} ${version} is known`;
-      return notRun(RefusalReason.NoBackendServer, detail);
+      return notRun(RefusalReason.NoBackendServer, `no backend server of ${servers} is known`);
     }
-    const detail = `all backend servers of ${service.name} ${version} refused calls of the route just now`;
+    const detail = `all backend servers of ${servers} refused calls of the route just now`;
     return { ...notRun(RefusalReason.QueueFull, detail), retryAfterMs };
   }
 
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -166,7 +166,7 @@
     for (const call of [...this.#line.all()]) {
       const refused =
         this.refusalNow(call.open.service) ??
-        this.#hopeless(call.open, call.deadlineAtMs, 0, tick.nowMs, this.#line.size > 1);
+        this.#hopeless(call.open, call.deadlineAtMs - tick.nowMs, tick.nowMs, this.#line.size > 1);
       if (refused) {
         this.#line.remove(call);
         call.settle(this.#refuse(refused));
@@ -205,7 +205,7 @@
       const detail = `expected wait ${Math.round(waitMs)} ms, ${this.#line.size} calls wait`;
       return refusal(RefusalReason.QueueFull, detail, this.#retryAfterMs());
     }
-    return this.#hopeless(open, deadlineAtMs, waitMs, nowMs, this.#running >= slots);
+    return this.#hopeless(open, deadlineAtMs - nowMs - waitMs, nowMs, this.#running >= slots);
   }
 
   /** Time until a call that is due then gets a slot: one has to end, and those ahead have to run. */
@@ -221,12 +221,10 @@
    */
   #hopeless(
     open: CallOpen,
-    deadlineAtMs: number,
-    waitMs: number,
+    leftMs: number,
     nowMs: number,
     doOthersWait: boolean,
   ): CallRefusal | undefined {
-    const leftMs = deadlineAtMs - nowMs - waitMs;
     // Only a new answer can tell that a server which was slow no longer is.
     const isTimeOld = nowMs - this.#timedAtMs > timesFreshMs;
     if (this.#running === 0 && isTimeOld && leftMs > 0) return undefined;
@@ -319,7 +317,7 @@
       if (!call) return;
       const refused =
         this.refusalNow(call.open.service) ??
-        this.#hopeless(call.open, call.deadlineAtMs, 0, nowMs, this.#line.size > 0) ??
+        this.#hopeless(call.open, call.deadlineAtMs - nowMs, nowMs, this.#line.size > 0) ??
         this.#takeCold(server, nowMs);
       if (refused) call.settle(this.#refuse(refused));
       else call.settle({ kind: 'permit', permit: this.#permit(call.open) });
--- a/packages/gate/src/waiting-line.ts
+++ b/packages/gate/src/waiting-line.ts
@@ -21,12 +21,11 @@
 
   /** Waiting calls that go before a new one that is due at this time. */
   ahead(dueAtMs: number): readonly Call[] {
-    const index = this.#calls.findIndex((call) => call.dueAtMs > dueAtMs);
-    return index < 0 ? this.#calls : this.#calls.slice(0, index);
+    return this.#calls.slice(0, this.#placeOf(dueAtMs));
   }
 
   push(call: Call): void {
-    this.#calls.splice(this.ahead(call.dueAtMs).length, 0, call);
+    this.#calls.splice(this.#placeOf(call.dueAtMs), 0, call);
   }
 
   shift(): Call | undefined {
@@ -40,4 +39,9 @@
   all(): readonly Call[] {
     return this.#calls;
   }
+
+  #placeOf(dueAtMs: number): number {
+    const index = this.#calls.findIndex((call) => call.dueAtMs > dueAtMs);
+    return index < 0 ? this.#calls.length : index;
+  }
 }
--- a/packages/routing/src/mesh/member-pressure.ts
+++ b/packages/routing/src/mesh/member-pressure.ts
@@ -77,7 +77,6 @@
   readonly calls: number;
   readonly slots: number;
   readonly failureRatio: number;
-  readonly isPaused: boolean;
 }
 
 /**
@@ -114,11 +113,16 @@
   }
 
   /** Whether the member refused a call of the route a moment ago for want of room. */
-  isFull(memberId: string, route: string): boolean {
-    const full = this.#rows.get(memberId)?.fullRoutes.get(route);
+  isFull(memberId: string, incarnation: number, route: string): boolean {
+    const full = this.#rowOf(memberId, incarnation)?.fullRoutes.get(route);
     return full !== undefined && monotonicNowMs() < full.untilMs;
   }
 
+  isPaused(memberId: string, incarnation: number): boolean {
+    const row = this.#rowOf(memberId, incarnation);
+    return row !== undefined && monotonicNowMs() < row.pausedUntilMs;
+  }
+
   /** Time until a member that refused a call of the route expects room. */
   roomInMs(memberId: string, route: string): number {
     const full = this.#rows.get(memberId)?.fullRoutes.get(route);
@@ -144,7 +148,6 @@
       calls: Math.max(row.ownCalls, trust * reported + sinceReport),
       slots: Math.max(1, slotsNow),
       failureRatio: failureRatio * fade,
-      isPaused: nowMs < row.pausedUntilMs,
     };
   }
 
@@ -160,7 +163,20 @@
   }
 
   prune(isKnown: (memberId: string) => boolean): void {
-    for (const id of [...this.#rows.ids()]) if (!isKnown(id)) this.#rows.delete(id);
+    const nowMs = monotonicNowMs();
+    for (const id of [...this.#rows.ids()]) {
+      if (!isKnown(id)) this.#rows.delete(id);
+      const fullRoutes = this.#rows.get(id)?.fullRoutes ?? [];
+      for (const [route, { roomAtMs, untilMs }] of fullRoutes) {
+        if (Math.max(roomAtMs, untilMs) < nowMs) this.#rows.get(id)?.fullRoutes.delete(route);
+      }
+    }
+  }
+
+  /** Row of a member unless it is that of a former process. */
+  #rowOf(memberId: string, incarnation: number): PressureRow | undefined {
+    const row = this.#rows.get(memberId);
+    return row?.incarnation === incarnation ? row : undefined;
   }
 
   #pauseMs(row: PressureRow, reason: RefusalReason): number {
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -114,8 +114,12 @@
     route = '',
   ): MemberRow | undefined {
     const known = this.#candidates(service, backendVersion, triedIds);
-    const candidates = known.filter((row) => !this.#pressure.isFull(row.id, route));
-    const usable = candidates.filter((row) => !this.#pressureOf(row).isPaused);
+    const candidates = known.filter(
+      ({ id, incarnation }) => !this.#pressure.isFull(id, incarnation, route),
+    );
+    const usable = candidates.filter(
+      ({ id, incarnation }) => !this.#pressure.isPaused(id, incarnation),
+    );
     if (usable.length > 0) return this.#best(this.#sample(usable), this.#farMs(route));
     // Fails open: the member whose pause ends first is the likeliest to serve again.
     return candidates.reduce<MemberRow | undefined>((first, row) => {
@@ -128,9 +132,9 @@
 
   fullForMs(service: string, backendVersion: string, route: string): number | undefined {
     const known = this.#candidates(service, backendVersion, new Set());
-    if (known.length === 0 || !known.every(({ id }) => this.#pressure.isFull(id, route))) {
-      return undefined;
-    }
+    const isFull = ({ id, incarnation }: MemberRow): boolean =>
+      this.#pressure.isFull(id, incarnation, route);
+    if (known.length === 0 || !known.every(isFull)) return undefined;
     return Math.min(...known.map(({ id }) => this.#pressure.roomInMs(id, route)));
   }
 
