Notice a late event loop from its tick instead of a second timer

Found by reading the change: LoopLag had a timer of its own beside the tick loop, which knows the time since its last tick already.

--- a/packages/bench/src/call/node-process.ts
+++ b/packages/bench/src/call/node-process.ts
@@ -36,7 +36,9 @@
 const start = async (): Promise<void> => {
   await transport.start();
   await calls.start();
-  new TickLoop(transport.systems, (name, error) => console.error(name, error)).start();
+  new TickLoop([...transport.systems, ...calls.systems], (name, error) =>
+    console.error(name, error),
+  ).start();
   const ports = { id, linkPort: transport.linkPort, callPort: calls.callPort };
   answerParent(ports, async (question) => {
     if (question.kind === 'members') decisions.setMember(makeRow(question.members[0] ?? ports));
--- a/packages/calls/src/call-path.ts
+++ b/packages/calls/src/call-path.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { CallError } from '@sequoiafield/errors';
-import { monotonicNowMs } from '@sequoiafield/tables';
+import { monotonicNowMs, type System } from '@sequoiafield/tables';
 import {
   bodyMaxBytes,
   RefusalReason,
@@ -43,6 +43,9 @@
 
   readonly #lag = new LoopLag();
 
+  /** Run each tick; without them the path works, but does not notice that the process is behind. */
+  readonly systems: readonly System[] = [this.#lag];
+
   readonly #protocol: CallProtocol;
 
   #isDraining = false;
@@ -78,7 +81,6 @@
 
   /** Listens for callers; rejects with a `CallError` if the port is taken. */
   async start(): Promise<void> {
-    this.#lag.start();
     const { address, callPort } = this.options.self;
     try {
       await this.#server.listen({ host: address, port: callPort });
@@ -126,7 +128,6 @@
 
   /** Ends at once; running calls are cut. */
   async stop(): Promise<void> {
-    this.#lag.stop();
     this.#server.server.closeAllConnections();
     await this.#server.close();
   }
@@ -150,7 +151,7 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     // Time in which the node waits for the close counts towards the deadline.
     const arrivedAtMs = monotonicNowMs();
-    if (!this.#lag.isBehind()) {
+    if (!this.#lag.isBehind(arrivedAtMs)) {
       this.#begin(request, response, arrivedAtMs);
       return;
     }
--- a/packages/calls/src/test-support/rig.ts
+++ b/packages/calls/src/test-support/rig.ts
@@ -191,9 +191,12 @@
       },
       retryPolicy: options.retryPolicy,
     });
-    this.#loop = new TickLoop(this.transport.systems, (_name, error) => {
-      throw error;
-    });
+    this.#loop = new TickLoop(
+      [...this.transport.systems, ...this.calls.systems],
+      (_name, error) => {
+        throw error;
+      },
+    );
   }
 
   get url(): string {
--- a/packages/mesh-node/src/mesh-parts.ts
+++ b/packages/mesh-node/src/mesh-parts.ts
@@ -294,7 +294,7 @@
   });
   const systems = [
     ...[...membership.systems, seeds, ...orders.systems, gate, serverWatch, ...moves.systems],
-    ...[router, ...transport.systems, callLog],
+    ...[router, ...transport.systems, ...calls.systems, callLog],
   ];
   return {
     ...{ transport, membership, orders, moves, gate, book, receiver, calls, serverWatch, systems },
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -284,7 +284,7 @@
     sequence: transport.sequence,
   });
   registerFleetQueries(membership.fleetQuery, distribution, burn, self.id);
-  const decisions = [rollout, routing, admission, transport, burn];
+  const decisions = [rollout, routing, admission, transport, calls, burn];
   const systems = [membership, distribution, ...decisions].flatMap((part) => [...part.systems]);
   return {
     ...control,
