--- a/packages/calls/src/late-writes.test.ts
+++ b/packages/calls/src/late-writes.test.ts
@@ -53,6 +53,6 @@
 });
 
 test('a request is written while its deadline lasts', () => {
-  // Guards against the check above refusing what could be answered.
+  // Guards against a check of the deadline that refuses requests with time left.
   assert.equal(startExchange(monotonicNowMs() + 1000).wasAborted, false);
 });
--- a/packages/calls/src/starved-node.test.ts
+++ b/packages/calls/src/starved-node.test.ts
@@ -25,7 +25,7 @@
   while (performance.now() < untilMs);
 };
 
-/** Lets a node stand still while a client sends its request; gives the runs and what the client got. */
+/** Blocks the event loop of a node while a client sends its request; gives the runs and what the client got. */
 const serveWhileStarved = async (stays: boolean): Promise<{ runs: number; got: string }> => {
   let runs = 0;
   const [, origin] = await listen((_request, response) => {
@@ -47,13 +47,13 @@
   return { runs, got };
 };
 
-test('a request whose client left while the node stood still does not run', async () => {
-  // Guards against runs for nobody after a start or a pause, when the node is behind.
+test('a request whose client left while the event loop was blocked does not run', async () => {
+  // Guards against runs whose answer no client reads, after a start or a pause.
   assert.equal((await serveWhileStarved(false)).runs, 0);
 });
 
-test('a request whose client still waits is served after the node stood still', async () => {
-  // Guards against the check above turning away callers that are there.
+test('a request whose client still waits is served after the event loop was blocked', async () => {
+  // Guards against a node that refuses clients which still wait.
   const { runs, got } = await serveWhileStarved(true);
   assert.equal(runs, 1);
   assert.match(got, /HTTP\/1\.1 200/);
--- a/packages/cli/src/explain-request.ts
+++ b/packages/cli/src/explain-request.ts
@@ -1,3 +1,5 @@
+import { logEvents } from '@sequoiafield/logger';
+
 /** One parsed log line of a node. */
 export interface LogLine {
   readonly node: string;
@@ -8,21 +10,21 @@
 }
 
 /** Events that say what a node believed when it decided. */
-const beliefEvents: ReadonlySet<string> = new Set([
-  'ordersInForce',
-  'backendServerAnnounced',
-  'backendServerLeaving',
-  'backendServerSilent',
-  'moveStage',
-  'moveTakenBack',
-  'storeUnavailable',
-  'storeAvailable',
-  'nodeStarted',
-  'nodeDraining',
-  'memberDead',
-]);
-
-const startEvent = 'nodeStarted';
+const beliefEvents: ReadonlySet<string> = new Set(
+  [
+    logEvents.ordersInForce,
+    logEvents.backendServerAnnounced,
+    logEvents.backendServerLeaving,
+    logEvents.backendServerSilent,
+    logEvents.moveStage,
+    logEvents.moveTakenBack,
+    logEvents.storeUnavailable,
+    logEvents.storeAvailable,
+    logEvents.nodeStarted,
+    logEvents.nodeDraining,
+    logEvents.memberDead,
+  ].map(({ name }) => name),
+);
 
 const ownFields: ReadonlySet<string> = new Set(['node', 'timestamp', 'message', 'level', 'event']);
 
@@ -77,7 +79,7 @@
   for (const line of sorted) {
     const isBefore = line.atText <= first.atText && nodes.has(line.node);
     if (!isBefore || !beliefEvents.has(line.name)) continue;
-    if (line.name === startEvent) {
+    if (line.name === logEvents.nodeStarted.name) {
       // A new process knows nothing of what the former one believed.
       for (const key of [...beliefs.keys()]) {
         if (key.startsWith(`${line.node} `)) beliefs.delete(key);
--- a/packages/logger/src/json-logger.test.ts
+++ b/packages/logger/src/json-logger.test.ts
@@ -59,4 +59,5 @@
   logger.log(logEvents.nodeStopped);
   await new Promise(setImmediate);
   assert.equal(output.destroyed, true);
+  assert.equal(logger.linesDropped, 1);
 });
--- a/packages/logger/src/json-logger.ts
+++ b/packages/logger/src/json-logger.ts
@@ -26,7 +26,10 @@
 
   readonly #output: Writable;
 
-  #dropped = 0;
+  /** Lines that were left out since the start of the process. */
+  linesDropped = 0;
+
+  #linesDroppedLogged = 0;
 
   #isBroken = false;
 
@@ -35,7 +38,7 @@
     { level = 'info', output = process.stderr }: JsonLoggerOptions = {},
   ) {
     this.#output = output;
-    // There is nowhere left to say it; the process serves on without a log.
+    // The failure of the log's own output cannot be logged; `linesDropped` shows it as a metric.
     output.on('error', () => {
       this.#isBroken = true;
     });
@@ -49,12 +52,13 @@
 
   log(event: LogEvent, fields: Readonly<Record<string, unknown>> = {}): void {
     if (this.#isBroken || this.#output.writableLength > waitingMaxBytes) {
-      this.#dropped += 1;
+      this.linesDropped += 1;
       return;
     }
-    if (this.#dropped > 0) {
-      this.#write(logEvents.logLinesDropped, { dropped: this.#dropped });
-      this.#dropped = 0;
+    const dropped = this.linesDropped - this.#linesDroppedLogged;
+    if (dropped > 0) {
+      this.#write(logEvents.logLinesDropped, { dropped });
+      this.#linesDroppedLogged = this.linesDropped;
     }
     this.#write(event, fields);
   }
--- a/packages/membership/src/joiner.ts
+++ b/packages/membership/src/joiner.ts
@@ -95,9 +95,9 @@
 
   run(tick: Tick): void {
     this.#announceReady();
-    // A peer that knew the former process may greet before the store names any seed.
-    const isMet = this.#nextAtMs === Number.POSITIVE_INFINITY && this.members.fleetSize() > 1;
-    if (isMet) this.#nextAtMs = tick.nowMs;
+    // A peer that knew the former process may probe this one before the store names any seed.
+    const isProbed = this.#nextAtMs === Number.POSITIVE_INFINITY && this.members.fleetSize() > 1;
+    if (isProbed) this.#nextAtMs = tick.nowMs;
     if (this.#nextAtMs === 0) this.#nextAtMs = tick.nowMs + this.random.next() * joinJitterMs;
     if (this.#isBusy || tick.nowMs < this.#nextAtMs) return;
     this.#isBusy = true;
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -129,7 +129,7 @@
   assert.ok(Math.max(...joinedAfterMs) <= 700, `joined after ${joinedAfterMs.join(' ')} ms`);
 });
 
-test('a node that restarts without a store is met by its peers', async () => {
+test('a node that restarts without a store learns of its peers from their probes', async () => {
   // Guards against a rolling restart during an outage of the store, after which no node knows another.
   await startFleet(8);
   const others = nodes.slice(0, 7);
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -31,7 +31,7 @@
 const verdictMs = 1000;
 /**
  * One member that is dead or left is probed this often, so that a healed partition is noticed without
- * an operator, and a node that restarts while the store is away is met by its peers.
+ * an operator, and a node that restarts while the store is away learns of its peers.
  */
 const departedProbeIntervalMs = 2000;
 /** A node that heard no ack for this long is cut off itself and suspects nobody. */
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -102,6 +102,11 @@
       source('backend_failures_total', 'Failed by the own server', () => counters.backendFailures),
       source('gate_running_calls', 'Calls on the own server', () => gate.load().runningCalls),
       source('gate_queued_calls', 'Calls that wait for a slot', () => gate.load().queuedCalls),
+      source(
+        'log_lines_dropped_total',
+        'Log lines left out because their reader was too slow or gone',
+        () => this.logger.linesDropped ?? 0,
+      ),
       source('fleet_members', 'Live members', () => membership.view.fleetSize()),
       source('fleet_servers', 'Members whose backend server takes new work', () => {
         const rows = [...membership.view.all()];
