Share the sample call and the sample member of tests

Found by reading the change: two new tests wrote the head of a call and a member again that other tests had already; both stand once in test-kit now. Two tests of the order before a full server share their body.

--- a/packages/calls/src/call-run.test.ts
+++ b/packages/calls/src/call-run.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { SeededRandom } from '@sequoiafield/tables';
+import { sampleMember } from '@sequoiafield/test-kit';
 import { AttemptSequence } from '@sequoiafield/transport';
 import {
-  MemberState,
   Priority,
   RefusalOutcome,
   RefusalReason,
@@ -16,21 +16,7 @@
 import { ReachedServerRetryPolicy } from './reached-server-retry-policy.js';
 import { refused, notRun } from './refusals.js';
 
-const member: MemberRow = {
-  id: 'old-1',
-  incarnation: 1,
-  address: '10.0.0.1',
-  gossipPort: 1,
-  linkPort: 1,
-  callPort: 1,
-  region: 'r',
-  dataCentre: 'dc',
-  service: 's',
-  backendVersion: 'old',
-  state: MemberState.Alive,
-  configVersion: 1,
-  stateChangedAtMs: 0,
-};
+const member = sampleMember('old-1', { backendVersion: 'old' });
 
 const call: InboundCall = {
   requestId: 'r',
--- a/packages/calls/src/late-writes.test.ts
+++ b/packages/calls/src/late-writes.test.ts
@@ -1,32 +1,18 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { monotonicNowMs } from '@sequoiafield/tables';
-import { RefusalOutcome, RefusalReason, type CallOpen } from '@sequoiafield/types';
+import { sampleOpen } from '@sequoiafield/test-kit';
+import { RefusalOutcome, RefusalReason } from '@sequoiafield/types';
 import type { Dispatcher } from 'undici';
 import { BackendExchange } from './backend-exchange.js';
 import { OwnCallProtocol } from './call-protocol.js';
 import { WrittenClassifier } from './failure-classifier.js';
 
-const createOpen = (deadlineAtMs: number): CallOpen => ({
-  requestId: 'r',
-  attempt: { senderId: 'a', senderIncarnation: 1, sequence: 1, receiverIncarnation: 1 },
-  service: 's',
-  route: 'route',
-  backendVersion: 'v1',
-  configVersion: 1,
-  priority: 2,
-  isIdempotent: true,
-  deadlineAtMs,
-  method: 'GET',
-  path: '/',
-  headers: [],
-});
-
 /** Lets a connection open at once; says whether the request would then be written. */
 const startExchange = (
   deadlineAtMs: number,
 ): { wasAborted: boolean; exchange: BackendExchange } => {
-  const exchange = new BackendExchange(createOpen(deadlineAtMs), {
+  const exchange = new BackendExchange(sampleOpen({ deadlineAtMs }), {
     classifier: new WrittenClassifier(),
     protocol: new OwnCallProtocol(),
     wholeAnswerMaxBytes: 0,
--- a/packages/calls/src/reset-answers.test.ts
+++ b/packages/calls/src/reset-answers.test.ts
@@ -3,7 +3,7 @@
 import { after, test } from 'node:test';
 import { BodyChannel } from '@sequoiafield/transport';
 import { monotonicNowMs } from '@sequoiafield/tables';
-import type { CallOpen } from '@sequoiafield/types';
+import { sampleOpen } from '@sequoiafield/test-kit';
 import type { BackendResult } from './backend-client.js';
 import { OwnCallProtocol, UndiciBackendClient } from './index.js';
 
@@ -11,20 +11,7 @@
   override readonly acceptsAnswersWithoutLength = true;
 }
 
-const open: CallOpen = {
-  requestId: 'r1',
-  attempt: { senderId: 'a', senderIncarnation: 1, sequence: 1, receiverIncarnation: 1 },
-  service: 's',
-  route: 'r',
-  backendVersion: 'v1',
-  configVersion: 1,
-  priority: 1,
-  isIdempotent: true,
-  deadlineAtMs: Number.MAX_SAFE_INTEGER,
-  method: 'GET',
-  path: '/',
-  headers: [['host', 'h']],
-};
+const open = sampleOpen({ requestId: 'r1', headers: [['host', 'h']] });
 
 /** Sends one request to a server that ends its answer as the test says. */
 const sendTo = async (endAnswer: (socket: Socket) => void): Promise<BackendResult> => {
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { monotonicNowMs } from '@sequoiafield/tables';
-import { pauseClock, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
+import { pauseClock, sampleOpen, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
 import {
   BackendServerState,
   RefusalOutcome,
@@ -38,22 +38,6 @@
   ...changes,
 });
 
-const createOpen = (changes: Partial<CallOpen> = {}): CallOpen => ({
-  requestId: 'r',
-  attempt: { senderId: 'a', senderIncarnation: 1, sequence: 1, receiverIncarnation: 1 },
-  service: 's',
-  route: 'route',
-  backendVersion: 'v1',
-  configVersion: 1,
-  priority: 2,
-  isIdempotent: true,
-  deadlineAtMs: 0,
-  method: 'GET',
-  path: '/',
-  headers: [],
-  ...changes,
-});
-
 class GateRig {
   readonly orders = new SampleOrders(
     { long: 300, short: 100, urgent: 250, usual: 200 },
@@ -76,7 +60,7 @@
 
   admit(changes: Partial<CallOpen> = {}, leftMs = 500): Promise<AdmissionResult> {
     const { signal } = new AbortController();
-    return this.gate.admit(createOpen(changes), monotonicNowMs() + leftMs, signal);
+    return this.gate.admit(sampleOpen(changes), monotonicNowMs() + leftMs, signal);
   }
 }
 
@@ -119,44 +103,33 @@
   assert.equal(rig.gate.load().runningCalls, 2);
 });
 
-/** Admits a call and notes its route once it got its result. */
-const startWaiting = async (
-  rig: GateRig,
-  route: string,
-  order: string[],
-): Promise<AdmissionResult> => {
-  const result = await rig.admit({ route });
-  order.push(route);
-  return result;
+/** Order in which a call of route `usual` and a later one of `urgent` start on a full server. */
+const startOrder = async (laterByMs: number): Promise<string[]> => {
+  const rig = new GateRig();
+  rig.hear();
+  const [first] = await Promise.all([rig.admit(), rig.admit(), rig.admit()]);
+  const order: string[] = [];
+  const start = async (route: string): Promise<void> => {
+    const result = await rig.admit({ route });
+    order.push(route);
+    permitOf(result).release({ hasFailed: false, latencyMs: 10 });
+  };
+  const usual = start('usual');
+  await clock.advance(laterByMs);
+  const urgent = start('urgent');
+  permitOf(first).release({ hasFailed: false, latencyMs: 10 });
+  await Promise.all([usual, urgent]);
+  return order;
 };
 
 test('a more important call starts before a less important one with a shorter target', async () => {
   // Guards against payments that wait behind lookups on a full server.
-  const rig = new GateRig();
-  rig.hear();
-  const permits = await Promise.all([rig.admit(), rig.admit(), rig.admit()]);
-  const order: string[] = [];
-  const usual = startWaiting(rig, 'usual', order);
-  const urgent = startWaiting(rig, 'urgent', order);
-  permitOf(permits[0]).release({ hasFailed: false, latencyMs: 10 });
-  permitOf(await urgent).release({ hasFailed: false, latencyMs: 10 });
-  await usual;
-  assert.deepEqual(order, ['urgent', 'usual']);
+  assert.deepEqual(await startOrder(0), ['urgent', 'usual']);
 });
 
 test('a less important call that waited long enough goes before important ones', async () => {
   // Guards against a kind of request that starves behind a more important one.
-  const rig = new GateRig();
-  rig.hear();
-  const permits = await Promise.all([rig.admit(), rig.admit(), rig.admit()]);
-  const order: string[] = [];
-  const usual = startWaiting(rig, 'usual', order);
-  await clock.advance(100);
-  const urgent = startWaiting(rig, 'urgent', order);
-  permitOf(permits[0]).release({ hasFailed: false, latencyMs: 10 });
-  permitOf(await usual).release({ hasFailed: false, latencyMs: 10 });
-  await urgent;
-  assert.deepEqual(order, ['usual', 'urgent']);
+  assert.deepEqual(await startOrder(100), ['usual', 'urgent']);
 });
 
 test('while others wait, a call gets a slot only if most of its route would end in its time', async () => {
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { SeededRandom } from '@sequoiafield/tables';
-import { pauseClock, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
+import { pauseClock, sampleMember, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
 import {
   MemberState,
   RefusalReason,
@@ -78,23 +78,6 @@
   assert.ok(repeats > 0.08 * requests, `${repeats} repeats of ${requests}`);
 });
 
-const member = (id: string, changes: Partial<MemberRow> = {}): MemberRow => ({
-  id,
-  incarnation: 1,
-  address: '10.0.0.1',
-  gossipPort: 1,
-  linkPort: 1,
-  callPort: 1,
-  region: 'r',
-  dataCentre: 'near',
-  service: 's',
-  backendVersion: 'v1',
-  state: MemberState.Alive,
-  configVersion: 0,
-  stateChangedAtMs: 0,
-  ...changes,
-});
-
 const createRouter = (rows: readonly MemberRow[]): [MeshRouter, SampleOrders] => {
   const orders = new SampleOrders();
   const members: MemberView = {
@@ -117,7 +100,7 @@
 
 test('the near data centre goes first while it has room, then the far one', () => {
   // Guards against bytes between data centres without need, and against a full near server.
-  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
   assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
   const load = { runningCalls: 9, queuedCalls: 12, slotsNow: 9, meanServiceMs: 40 };
   router.begin('a');
@@ -127,7 +110,7 @@
 
 test('a call with many bytes stays near longer than one with few', () => {
   // Guards against large bodies that are paid for between data centres to save a few milliseconds.
-  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
   const load = { runningCalls: 9, queuedCalls: 0, slotsNow: 9, meanServiceMs: 50 };
   const answered = { memberId: 'a', service: 's', hasFailed: false, latencyMs: 40, load };
   router.choose('s', 'v1', new Set());
@@ -141,7 +124,7 @@
 
 test('a member that cannot be reached or takes no work is left out for a moment', async () => {
   // Guards against calls that wait for a dead machine one after the other.
-  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
   const report = { memberId: 'a', service: 's', hasFailed: true, latencyMs: 1 };
   router.choose('s', 'v1', new Set());
   router.begin('a');
@@ -153,7 +136,7 @@
 
 test('members that are full for a route are not asked for it again at once, and for others they are', async () => {
   // Guards against a refusal that visits every full server before the caller learns of it.
-  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
   const full = {
     service: 's',
     hasFailed: false,
@@ -175,7 +158,7 @@
 
 test('a member that failed and got no call since is tried again', async () => {
   // Guards against a server that recovered and stays unused while others have room.
-  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
   const load = {
     runningCalls: 0,
     queuedCalls: 0,
@@ -193,7 +176,7 @@
 
 test('a member that was slow and got no call since is tried again', async () => {
   // Guards against a server that was slow once and stays unused while others have room.
-  const [router] = createRouter([member('a'), member('b', { dataCentre: 'far' })]);
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
   const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 9, meanServiceMs: 600 };
   router.choose('s', 'v1', new Set());
   router.begin('a');
@@ -206,10 +189,10 @@
 test('members of an evacuated data centre, of another version or tried before are not chosen', () => {
   // Guards against the round trip to a node that refuses for certain.
   const rows = [
-    member('a'),
-    member('b', { dataCentre: 'far' }),
-    member('c', { backendVersion: 'v2' }),
-    member('d', { state: MemberState.Draining }),
+    sampleMember('a'),
+    sampleMember('b', { dataCentre: 'far' }),
+    sampleMember('c', { backendVersion: 'v2' }),
+    sampleMember('d', { state: MemberState.Draining }),
   ];
   const [router, orders] = createRouter(rows);
   orders.change({ evacuatedDataCentres: new Set(['near']) });
--- a/packages/test-kit/src/mesh-samples.ts
+++ b/packages/test-kit/src/mesh-samples.ts
@@ -1,4 +1,10 @@
-import type { MeshOrders, OrdersView } from '@sequoiafield/types';
+import {
+  MemberState,
+  type CallOpen,
+  type MemberRow,
+  type MeshOrders,
+  type OrdersView,
+} from '@sequoiafield/types';
 
 const noOrders: MeshOrders = {
   storeRevision: 1,
@@ -44,3 +50,38 @@
     this.orders = { ...this.orders, ...changes };
   }
 }
+
+/** Head of a call to service `s`, version `v1`, whose deadline never passes. */
+export const sampleOpen = (changes: Partial<CallOpen> = {}): CallOpen => ({
+  requestId: 'r',
+  attempt: { senderId: 'a', senderIncarnation: 1, sequence: 1, receiverIncarnation: 1 },
+  service: 's',
+  route: 'route',
+  backendVersion: 'v1',
+  configVersion: 1,
+  priority: 2,
+  isIdempotent: true,
+  deadlineAtMs: Number.MAX_SAFE_INTEGER,
+  method: 'GET',
+  path: '/',
+  headers: [],
+  ...changes,
+});
+
+/** Live member of service `s`, version `v1`, in the data centre `near`. */
+export const sampleMember = (id: string, changes: Partial<MemberRow> = {}): MemberRow => ({
+  id,
+  incarnation: 1,
+  address: '10.0.0.1',
+  gossipPort: 1,
+  linkPort: 1,
+  callPort: 1,
+  region: 'r',
+  dataCentre: 'near',
+  service: 's',
+  backendVersion: 'v1',
+  state: MemberState.Alive,
+  configVersion: 0,
+  stateChangedAtMs: 0,
+  ...changes,
+});
