--- /dev/null
+++ b/packages/membership/src/test-support/membership-fleet.ts
@@ -0,0 +1,92 @@
+import { SilentLogger } from '@sequoiafield/logger';
+import { SeededRandom, TickLoop } from '@sequoiafield/tables';
+import { FakeNetwork, pauseClock } from '@sequoiafield/test-kit';
+import { MemberState, type MemberAnnouncement } from '@sequoiafield/types';
+import { createMembership, type Membership } from '../index.js';
+
+/** One node of a fleet in this process. */
+export interface FleetNode {
+  readonly self: MemberAnnouncement;
+  readonly membership: Membership;
+  readonly loop: TickLoop;
+}
+
+/** Address of the node with an index, from 1. */
+export const addressOf = (index: number): string => `10.0.1.${index}`;
+
+/** States that nodes believe a member to be in, each with the number of believers. */
+export const beliefsOf = (id: string, believers: readonly FleetNode[]): Record<string, number> => {
+  const counts: Record<string, number> = {};
+  for (const { membership } of believers) {
+    const name = MemberState[membership.view.get(id)?.state ?? -1] ?? 'unknown';
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+};
+
+/** What a test changes about a node that it starts. */
+export interface NodeChanges extends Partial<MemberAnnouncement> {
+  /** Whether the node is told seeds; true by default. */
+  readonly knowsSeeds?: boolean;
+}
+
+/** Memberships on a network in memory and a paused clock. */
+export class MembershipFleet {
+  readonly clock = pauseClock();
+
+  readonly network = new FakeNetwork(new SeededRandom(3));
+
+  readonly nodes: FleetNode[] = [];
+
+  /** Starts nodes 1 to `count` and lets them join. */
+  async start(count: number): Promise<void> {
+    for (let index = 1; index <= count; index++) await this.startNode(index);
+    await this.clock.advance(10_000, 20);
+  }
+
+  async startNode(
+    index: number,
+    { knowsSeeds = true, ...changes }: NodeChanges = {},
+  ): Promise<FleetNode> {
+    const self: MemberAnnouncement = {
+      id: `node-${String(index).padStart(3, '0')}`,
+      incarnation: Date.now(),
+      address: addressOf(index),
+      gossipPort: 7000,
+      linkPort: 7001,
+      callPort: 7002,
+      region: `region-${index % 2}`,
+      dataCentre: `dc-${index % 4}`,
+      service: 'rounds',
+      backendVersion: 'v1',
+      ...changes,
+    };
+    const membership = createMembership({
+      self,
+      logger: new SilentLogger(),
+      random: new SeededRandom(index + 100),
+      links: this.network.links(self.address, self.id),
+      port: this.network.port(self.address),
+      ownConfigVersion: () => 0,
+    });
+    const loop = new TickLoop(membership.systems, (_, error) => {
+      throw error;
+    });
+    await membership.start();
+    if (knowsSeeds) membership.join(this.nodes.slice(0, 4).map((node) => node.self));
+    loop.start();
+    const node = { self, membership, loop };
+    this.nodes[index - 1] = node;
+    return node;
+  }
+
+  kill(node: FleetNode): void {
+    node.loop.stop();
+    this.network.kill(node.self.address);
+  }
+
+  stop(): void {
+    for (const node of this.nodes) node.loop.stop();
+    this.clock.resume();
+  }
+}
