Define the waves of moves and the load of settlements once

Found by reading: moves-defects and moves-judging ended in the same 28 lines, fault-pairs and recovery had the same load and the same second configuration.

--- a/packages/integration-tests/src/fault-pairs.test.ts
+++ b/packages/integration-tests/src/fault-pairs.test.ts
@@ -11,6 +11,7 @@
 import { buildBundles } from './build.js';
 import { kerasmaFiles, settlementInstances, type ConfigurationFiles } from './configurations.js';
 import { readStarts } from './support/ledger-lines.js';
+import { startSettlementLoad, withSettlementDeadline } from './support/settlement-load.js';
 import { readHeadVersion } from './support/store-records.js';
 
 const instances = settlementInstances(['ath-1', 'ath-1', 'ath-1', 'ath-2', 'ath-2', 'ath-2']);
@@ -26,20 +27,11 @@
 });
 const both = kerasmaFiles({ 'ath-1': 'in', 'ath-2': 'in' });
 
-const withDeadline = (deadlineMs: number): ConfigurationFiles => ({
-  ...both,
-  '95-deadline.ini': `[route settlement-post]\ndeadline_ms = ${deadlineMs}\n`,
-});
+const withDeadline = (deadlineMs: number): ConfigurationFiles =>
+  withSettlementDeadline(both, deadlineMs);
 
 const load = (runId: string, durationS: number, targets: readonly string[]) =>
-  mesh.startLoad(
-    [
-      ...['--lookup', 'GET /tabs/{n}', '--request', 'POST /settle/{n}', '--lookupPercent', '50'],
-      ...['--rate', '60', '--durationS', String(durationS), '--deadlineMs', '3000'],
-      ...['--runId', runId],
-    ],
-    targets,
-  );
+  startSettlementLoad(mesh, { runId, ratePerS: 60, durationS, targets });
 
 const assertLedgers = (outcome: LoadOutcome, answeredPercentMin: number): string => {
   const { outcomes, reasons, verification, requests } = outcome;
--- a/packages/integration-tests/src/moves-judging.test.ts
+++ b/packages/integration-tests/src/moves-judging.test.ts
@@ -1,11 +1,9 @@
-import { after, before, test } from 'node:test';
-import { FaultKind, LocalMesh } from '@sequoiafield/stand-ins';
+import { FaultKind, type LocalMesh } from '@sequoiafield/stand-ins';
 import { MoveVerdict } from '@sequoiafield/types';
-import { buildBundles } from './build.js';
-import { moveInstances, serviceFiles } from './configurations.js';
+import { moveInstances } from './configurations.js';
 import { changeVersion, failing } from './support/behaviour-changes.js';
-import { checkMove } from './support/move-checks.js';
-import { startMoves, type MoveCell, type MoveRun } from './support/move-wave.js';
+import type { MoveCell } from './support/move-wave.js';
+import { testMoves } from './support/test-moves.js';
 
 const dataCentres = ['ath-1', 'ath-2'];
 /** Stage from which the version has 10 % and has been clean for some seconds. */
@@ -53,25 +51,6 @@
 /** With a judge killed, each version keeps two servers, without which no version is judged. */
 const serversPerVersion = (service: string): number => (service === 'judged' ? 3 : 2);
 
-const services = cells.map(({ service }) => service);
-const instances = services.flatMap((service) =>
+testMoves(dataCentres, cells, (service) =>
   moveInstances(service, dataCentres, serversPerVersion(service)),
 );
-const files = serviceFiles(dataCentres, services);
-const mesh = new LocalMesh({ distFolder: buildBundles(), instances });
-const runs = new Map<string, Promise<MoveRun>>();
-
-before(async () => {
-  const started = await startMoves(mesh, files, cells);
-  started.forEach((run, name) => runs.set(name, run));
-});
-
-after(() => mesh.stop());
-
-for (const { name, expected } of cells) {
-  test(`a new version that ${name} is ${expected}`, async (context) => {
-    // Guards against a defect that the sequential test misses, or that it sees in a good version.
-    const run = await runs.get(name)!;
-    context.diagnostic(await checkMove(mesh, run, expected));
-  });
-}
--- a/packages/integration-tests/src/recovery.test.ts
+++ b/packages/integration-tests/src/recovery.test.ts
@@ -4,6 +4,7 @@
 import { FaultEffect, FaultOperation, LocalMesh } from '@sequoiafield/stand-ins';
 import { buildBundles } from './build.js';
 import { kerasmaFiles, settlementInstances, type ConfigurationFiles } from './configurations.js';
+import { startSettlementLoad, withSettlementDeadline } from './support/settlement-load.js';
 import { readHeadVersion } from './support/store-records.js';
 
 const instances = settlementInstances(['ath-1', 'ath-1', 'ath-1', 'ath-2', 'ath-2', 'ath-2']);
@@ -13,20 +14,11 @@
 const mesh = new LocalMesh({ distFolder: buildBundles(), instances, hasSeedSettings: true });
 const both = kerasmaFiles({ 'ath-1': 'in', 'ath-2': 'in' });
 
-const withDeadline = (deadlineMs: number): ConfigurationFiles => ({
-  ...both,
-  '95-deadline.ini': `[route settlement-post]\ndeadline_ms = ${deadlineMs}\n`,
-});
+const withDeadline = (deadlineMs: number): ConfigurationFiles =>
+  withSettlementDeadline(both, deadlineMs);
 
 const load = (runId: string, durationS: number, targets: readonly string[]) =>
-  mesh.startLoad(
-    [
-      ...['--lookup', 'GET /tabs/{n}', '--request', 'POST /settle/{n}', '--lookupPercent', '50'],
-      ...['--rate', '80', '--durationS', String(durationS), '--deadlineMs', '3000'],
-      ...['--runId', runId],
-    ],
-    targets,
-  );
+  startSettlementLoad(mesh, { runId, ratePerS: 80, durationS, targets });
 
 const startedCalls = async (ids: readonly string[]): Promise<number> => {
   const counts = await Promise.all(
