Judge a new version over its running stage as well

Calls before the store was stable do not count there, so that the good ones of the early stages are no part of the tenth. The judge weighed the failures against the last 1.5 s, in which half were calls of the stages before.

--- a/packages/moves/src/move-judge.ts
+++ b/packages/moves/src/move-judge.ts
@@ -16,7 +16,7 @@
 import { countsSince, Judgement, judgeVersion, type CountsByRoute } from './version-judge.js';
 import type { VersionPolicy } from './version-policy.js';
 
-/** Spans over which a version is judged besides its whole time, since it may turn bad late. */
+/** Span over which a version is judged besides its whole time and its stage, since it may turn bad late. */
 const recentMs = 1500;
 /** Time at the last stage before the old servers may stop: gossip, and calls on their way. */
 const emptyingMinMs = 1200;
@@ -37,6 +37,8 @@
   readonly book: EvidenceBook;
   readonly recorder: MoveRecorder;
   samples: Sample[];
+  /** Counts at the start of the stage, since a version may be bad from a share on. */
+  stageSample: Sample | undefined;
   stageSinceMs: number;
   stage: number;
   outcomeSinceMs: number | undefined;
@@ -86,6 +88,7 @@
       book: new EvidenceBook(order.revision),
       recorder: new MoveRecorder(order, this.parts, record),
       samples: [],
+      stageSample: undefined,
       stageSinceMs: nowMs,
       stage: 0,
       outcomeSinceMs: undefined,
@@ -110,6 +113,7 @@
       const changed = move;
       changed.stage = progress.stage;
       changed.stageSinceMs = nowMs;
+      changed.stageSample = move.samples.at(-1);
     }
     move.book.retain((id) => this.parts.members.get(id) !== undefined);
     const judgement = this.#judgementOf(move, nowMs);
@@ -125,13 +129,12 @@
     changed.samples = move.samples.filter(({ atMs }) => atMs > nowMs - 2 * recentMs);
     changed.samples.push({ atMs: nowMs, old, candidate });
     const whole = judgeVersion(old, candidate);
-    const before = move.samples.filter(({ atMs }) => atMs <= nowMs - recentMs).at(-1);
-    if (whole === Judgement.Bad || !before) return whole;
-    const recent = judgeVersion(
-      countsSince(old, before.old),
-      countsSince(candidate, before.candidate),
-    );
-    return recent === Judgement.Bad ? recent : whole;
+    const recent = move.samples.filter(({ atMs }) => atMs <= nowMs - recentMs).at(-1);
+    const isBadSince = (sample: Sample | undefined): boolean =>
+      sample !== undefined &&
+      judgeVersion(countsSince(old, sample.old), countsSince(candidate, sample.candidate)) ===
+        Judgement.Bad;
+    return isBadSince(recent) || isBadSince(move.stageSample) ? Judgement.Bad : whole;
   }
 
   #rollBack(move: JudgedMove): void {
--- a/packages/moves/src/moves.test.ts
+++ b/packages/moves/src/moves.test.ts
@@ -77,6 +77,22 @@
   assert.ok(candidate <= 0.1 * (candidate + old) + 50, `${candidate} of ${candidate + old}`);
 });
 
+test('a version that fails some calls under full load is rolled back within the first of them', async () => {
+  // Guards against a verdict that waits until the good calls of earlier stages no longer count: calls
+  // before the store was stable are not part of the tenth that a bad version may get.
+  const underFullLoad: Behaviour = ({ roll, share }) => ({
+    status: share === 1 && roll < 0.2 ? 500 : 200,
+    latencyMs: 50,
+  });
+  const fleet = new MoveFleet(clock, 150, underFullLoad);
+  await fleet.play(durationMs / 3);
+  Object.assign(fleet.calls, { old: 0, candidate: 0 });
+  await fleet.play((2 * durationMs) / 3);
+  assert.equal(fleet.outcome, MoveOutcome.RolledBack);
+  const { candidate, old } = fleet.calls;
+  assert.ok(candidate <= 0.1 * (candidate + old) + 50, `${candidate} of ${candidate + old}`);
+});
+
 test('a bad version gets nothing although the store is down', async () => {
   // Guards against a verdict that waits for the store.
   const fleet = new MoveFleet(clock, 200, badVersions.errors!);
