Start a fleet with few store calls, and limit cold servers in a module of their own

Change: the first read waits until the known members are stable for 300 ms; only the first watcher watches with the short wait; a node that starts pings its seeds at once and every 200 ms. The schedule of the first read and the limit of cold servers are classes of their own.

--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -1,6 +1,5 @@
 import { monotonicNowMs, type System, type Tick } from '@sequoiafield/tables';
 import {
-  RefusalOutcome,
   RefusalReason,
   type Admission,
   type AdmissionResult,
@@ -8,12 +7,12 @@
   type CallRefusal,
   type CancelSignal,
   type LoadReport,
-  type MeshService,
   type OrdersView,
   type Permit,
 } from '@sequoiafield/types';
+import { ColdLimiter } from './cold-limiter.js';
+import { createRefusal } from './create-refusal.js';
 import type { LocalServer, LocalServerTracker } from './local-server-tracker.js';
-import { RateWindow } from './rate-window.js';
 import { RouteLatencyTargets } from './route-latency-targets.js';
 import { ServiceTimes } from './service-times.js';
 import { CallEnd, ShedBreaker } from './shed-breaker.js';
@@ -23,10 +22,6 @@
 const queuedCallsPerSlotMax = 4;
 /** Expected wait that is always allowed; a lower limit would refuse calls in a short burst. */
 const waitAlwaysAllowedMs = 10;
-/** Window in which requests to a cold server are counted; a little over the second of its limit. */
-const coldWindowMs = 1050;
-/** Extra time that a server counts as cold, for the delivery time of its heartbeat. */
-const coldMarginMs = 150;
 /** Heartbeat intervals without a heartbeat or an answer after which a server gets no more calls. */
 const silentHeartbeatIntervalsMax = 2.5;
 /** Time without calls after a refused connection, unless a heartbeat or an answer ends it earlier. */
@@ -52,13 +47,6 @@
   settle(result: AdmissionResult): void;
 }
 
-const refusal = (reason: RefusalReason, detail: string, retryAfterMs?: number): CallRefusal => ({
-  outcome: RefusalOutcome.NotRun,
-  reason,
-  detail,
-  ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
-});
-
 const callEndOf = (hasFailed: boolean, wasShed: boolean, latencyMs: number): CallEnd => {
   if (wasShed) return CallEnd.Shed;
   return hasFailed || latencyMs === 0 ? CallEnd.Other : CallEnd.Answered;
@@ -80,8 +68,6 @@
 
   readonly #queue = new DueTimeQueue<QueuedCall>();
 
-  readonly #requestWindow = new RateWindow(coldWindowMs);
-
   #serviceTimes = new ServiceTimes();
 
   #shedBreaker = new ShedBreaker();
@@ -97,14 +83,13 @@
 
   #connectionRefusedAtMs = Number.NEGATIVE_INFINITY;
 
-  #evacuationEndedAtMs = Number.NEGATIVE_INFINITY;
-
-  #wasEvacuated = false;
-
   readonly #latencyTargets: RouteLatencyTargets;
 
+  readonly #coldLimiter: ColdLimiter;
+
   constructor(private readonly options: ServerGateOptions) {
     this.#latencyTargets = new RouteLatencyTargets(options.orders);
+    this.#coldLimiter = new ColdLimiter(options.dataCentre, options.orders);
   }
 
   load(): LoadReport {
@@ -127,16 +112,16 @@
     const refused =
       this.currentRefusal(open.service) ?? this.#callRefusal(open, deadlineAtMs, nowMs);
     if (refused || !server) {
-      return this.#refuse(refused ?? refusal(RefusalReason.NotReady, 'no server is known'));
+      return this.#refuse(refused ?? createRefusal(RefusalReason.NotReady, 'no server is known'));
     }
     if (this.#running < server.heartbeat.slots && this.#queue.size === 0) {
-      const coldRefusal = this.#countTowardsColdLimit(server, nowMs);
+      const coldRefusal = this.#coldLimiter.count(server, nowMs);
       return coldRefusal
         ? this.#refuse(coldRefusal)
         : { kind: 'permit', permit: this.#permit(open) };
     }
     if (open.mayWait === false) {
-      return this.#refuse(refusal(RefusalReason.ServerBusy, 'no slot is free'));
+      return this.#refuse(createRefusal(RefusalReason.ServerBusy, 'no slot is free'));
     }
     return this.#enqueue(open, deadlineAtMs, signal);
   }
@@ -145,20 +130,21 @@
   currentRefusal(service: string): CallRefusal | undefined {
     const server = this.options.serverTracker.current();
     const nowMs = monotonicNowMs();
-    if (!server) return refusal(RefusalReason.NotReady, 'no backend server has announced itself');
-    if (server.isLeaving) return refusal(RefusalReason.Draining, 'the backend server leaves');
-    if (this.#isEvacuated()) {
-      return refusal(RefusalReason.DataCentreEvacuated, 'the data centre is evacuated');
+    if (!server)
+      return createRefusal(RefusalReason.NotReady, 'no backend server has announced itself');
+    if (server.isLeaving) return createRefusal(RefusalReason.Draining, 'the backend server leaves');
+    if (this.options.orders.current().evacuatedDataCentres.has(this.options.dataCentre)) {
+      return createRefusal(RefusalReason.DataCentreEvacuated, 'the data centre is evacuated');
     }
     if (server.heartbeat.service !== service) {
-      return refusal(RefusalReason.WrongVersion, `here is ${server.heartbeat.service}`);
+      return createRefusal(RefusalReason.WrongVersion, `here is ${server.heartbeat.service}`);
     }
     if (this.isSilent(server, nowMs)) {
-      return refusal(RefusalReason.NotReady, 'the backend server is silent');
+      return createRefusal(RefusalReason.NotReady, 'the backend server is silent');
     }
     const shedPauseMs = this.#shedBreaker.remainingMs();
     if (shedPauseMs > 0) {
-      return refusal(RefusalReason.NotReady, 'the backend server sheds calls', shedPauseMs);
+      return createRefusal(RefusalReason.NotReady, 'the backend server sheds calls', shedPauseMs);
     }
     return undefined;
   }
@@ -179,7 +165,7 @@
 
   /** Starts or refuses queued calls by the current state; called each tick and on changes. */
   run(tick: Pick<Tick, 'nowMs'>): void {
-    this.#trackEvacuation(tick.nowMs);
+    this.#coldLimiter.trackEvacuation(tick.nowMs);
     this.#resetOnNewIncarnation();
     for (const call of [...this.#queue.all()]) {
       const refused =
@@ -208,16 +194,6 @@
     this.#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
   }
 
-  #isEvacuated(): boolean {
-    return this.options.orders.current().evacuatedDataCentres.has(this.options.dataCentre);
-  }
-
-  #trackEvacuation(nowMs: number): void {
-    const isEvacuated = this.#isEvacuated();
-    if (this.#wasEvacuated && !isEvacuated) this.#evacuationEndedAtMs = nowMs;
-    this.#wasEvacuated = isEvacuated;
-  }
-
   /** Refuses a call for its remaining time or for the calls queued ahead of it. */
   #callRefusal(open: CallOpen, deadlineAtMs: number, nowMs: number): CallRefusal | undefined {
     const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 1;
@@ -230,7 +206,7 @@
     );
     if (waitMs > waitMaxMs || this.#queue.size >= slots * queuedCallsPerSlotMax) {
       const detail = `expected wait ${Math.round(waitMs)} ms, ${this.#queue.size} calls wait`;
-      return refusal(RefusalReason.QueueFull, detail, this.#retryAfterMs());
+      return createRefusal(RefusalReason.QueueFull, detail, this.#retryAfterMs());
     }
     return this.#deadlineRefusal(
       open,
@@ -265,7 +241,7 @@
       : neededServiceTimeShare * this.#serviceTimes.routeMeanMs(open.route);
     if (remainingMs > neededMs) return undefined;
     const detail = `${Math.round(remainingMs)} ms are left after the wait, ${Math.round(neededMs)} ms needed`;
-    return refusal(RefusalReason.DeadlineUnreachable, detail, this.#retryAfterMs());
+    return createRefusal(RefusalReason.DeadlineUnreachable, detail, this.#retryAfterMs());
   }
 
   /** Expected time until the calls that are queued now have started. */
@@ -274,32 +250,6 @@
     return Math.max(retryAfterMinMs, ((this.#queue.size + 1) * this.#serviceTimes.meanMs) / slots);
   }
 
-  #isCold(server: LocalServer, nowMs: number): boolean {
-    if (nowMs < server.coldUntilMs + coldMarginMs && server.coldUntilMs > 0) return true;
-    // A server may have turned cold during an evacuation, which only a later heartbeat can show.
-    return server.heartbeatAtMs < this.#evacuationEndedAtMs + coldMarginMs;
-  }
-
-  /** Counts a call towards the cold server's limit; returns a refusal if the limit is reached. */
-  #countTowardsColdLimit(server: LocalServer, nowMs: number): CallRefusal | undefined {
-    const limit = this.#coldLimit(server);
-    if (this.#isCold(server, nowMs) && this.#requestWindow.count(nowMs) >= limit) {
-      const retryAfterMs = this.#requestWindow.waitMs(nowMs, limit);
-      return refusal(RefusalReason.ColdServer, 'the cold server has its share', retryAfterMs);
-    }
-    // Counted while warm as well, since the server may turn cold at any moment.
-    this.#requestWindow.add(nowMs);
-    return undefined;
-  }
-
-  #coldLimit(server: LocalServer): number {
-    const service: MeshService | undefined = this.options.orders
-      .current()
-      .configuration?.services.get(server.heartbeat.service);
-    // Without a configuration the limit is unknown; one request per window does no harm.
-    return Math.max(1, Math.floor(service?.coldRequestsPerS ?? 1));
-  }
-
   #permit(open: CallOpen): Permit {
     this.#running += 1;
     const incarnation = this.#incarnation;
@@ -336,7 +286,9 @@
       };
       onAbort = () => {
         this.#queue.remove(call);
-        call.settle(this.#refuse(refusal(RefusalReason.Cancelled, 'cancelled while it waited')));
+        call.settle(
+          this.#refuse(createRefusal(RefusalReason.Cancelled, 'cancelled while it waited')),
+        );
       };
       signal.addEventListener('abort', onAbort);
       this.#queue.push(call);
@@ -353,7 +305,7 @@
       const refused =
         this.currentRefusal(call.open.service) ??
         this.#deadlineRefusal(call.open, call.deadlineAtMs - nowMs, nowMs, this.#queue.size > 0) ??
-        this.#countTowardsColdLimit(server, nowMs);
+        this.#coldLimiter.count(server, nowMs);
       if (refused) call.settle(this.#refuse(refused));
       else call.settle({ kind: 'permit', permit: this.#permit(call.open) });
     }
--- a/packages/membership/src/joiner.ts
+++ b/packages/membership/src/joiner.ts
@@ -19,6 +19,8 @@
 const earlySyncMinIntervalMs = 3000;
 /** Seeds pinged in one attempt, so that a single stopped seed does not cause a retry. */
 const pingedSeedsMax = 3;
+/** Interval at which a node that knows no other pings its seeds; they may start at the same moment. */
+const alonePingIntervalMs = 200;
 /** Time for a pinged seed to answer with its row, which names its link port. */
 const seedAnswerTimeoutMs = 300;
 /** Interval at which a joining node checks for the answer of a seed; a round trip takes 2 ms or more. */
@@ -58,6 +60,8 @@
 
   #joinResolvers: (() => void)[] = [];
 
+  #nextAlonePingAtMs = 0;
+
   constructor(
     private readonly members: MembersTable,
     private readonly gossip: Gossip,
@@ -98,6 +102,7 @@
 
   run(tick: Tick): void {
     this.#announceReady();
+    this.#pingWhileAlone(tick.nowMs);
     // A peer that knows the former process may probe this one before the store returns any seed.
     const isProbed =
       this.#nextPullAtMs === Number.POSITIVE_INFINITY && this.members.fleetSize() > 1;
@@ -118,6 +123,17 @@
       });
   }
 
+  #pingWhileAlone(nowMs: number): void {
+    if (this.#seeds.length === 0 || this.members.fleetSize() > 1) return;
+    if (nowMs < this.#nextAlonePingAtMs) return;
+    this.#nextAlonePingAtMs = nowMs + alonePingIntervalMs;
+    const start = this.random.nextInt(this.#seeds.length);
+    for (let offset = 0; offset < Math.min(pingedSeedsMax, this.#seeds.length); offset++) {
+      const seed = this.#seeds[(start + offset) % this.#seeds.length];
+      if (seed) this.prober.pingAddress(seed);
+    }
+  }
+
   #meanDelayMs(): number {
     if (!this.#isJoined) return this.#retryDelayMs;
     if (!this.#isFirstSync) return syncIntervalMs;
--- a/packages/mesh-node/src/seed-registrar.ts
+++ b/packages/mesh-node/src/seed-registrar.ts
@@ -1,6 +1,6 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
 import type { Membership } from '@sequoiafield/membership';
-import type { RangeStore, StoreItem } from '@sequoiafield/store';
+import type { RangeStore } from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System, type Tick } from '@sequoiafield/tables';
 import { MemberState, type Seed } from '@sequoiafield/types';
 import { decodeSeeds, encodeSeeds, type SeedsRecord } from './seeds-record.js';
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -9,6 +9,7 @@
   type MemberView,
   type RegisterGossip,
 } from '@sequoiafield/types';
+import { FirstReadSchedule } from './first-read-schedule.js';
 import type { OrdersExchange } from './orders-exchange.js';
 import type { OrdersTable } from './orders-table.js';
 import type { WatchTakeover } from './watch-takeover.js';
@@ -20,6 +21,11 @@
  * starts after the 3 s that are allowed to a machine whose connections were reset.
  */
 const watchWaitMs = 2500;
+/**
+ * Longest wait of a watch call of the other watchers. It costs fewer calls, and they are needed only
+ * while the first one does not get the changes.
+ */
+const laterWatchWaitMs = 10_000;
 /** Delay before a failed call is repeated: doubled per failure up to the maximum, with jitter. */
 const retryMinMs = 100;
 const retryMaxMs = 1000;
@@ -31,14 +37,6 @@
  */
 const watchPauseMs = 300;
 const fetchPauseMs = 200;
-/**
- * Time in which a node that starts tries to get the orders from a peer before it reads the store. The
- * random part spreads the reads of a fleet that starts at once.
- */
-const firstReadDelayMinMs = 300;
-const firstReadDelaySpreadMs = 600;
-/** Time after which a node that knows no other node takes itself for the only one. */
-const aloneAfterMs = 3500;
 /** Interval at which a node that starts asks a peer. */
 const firstFetchIntervalMs = 250;
 /** Mean interval between the reads that the non-watching nodes of the whole fleet make. */
@@ -86,10 +84,7 @@
 
   #nextFetchAtMs = 0;
 
-  #startedAtMs: number | undefined;
-
-  /** When a node that has no orders yet reads the store; undefined before the first tick. */
-  #firstReadAtMs: number | undefined;
+  readonly #firstRead: FirstReadSchedule;
 
   /** Highest revision that a peer announced, and the peer. */
   #announced: { readonly revision: number; readonly fromId: string } | undefined;
@@ -105,6 +100,8 @@
   #isStoreDown = false;
 
   constructor(private readonly dependencies: OrdersFollowerDependencies) {
+    const { members, watchers, random } = dependencies;
+    this.#firstRead = new FirstReadSchedule(members, watchers, random);
     dependencies.registers.subscribe(RegisterKind.Head, (entry, fromId) => {
       if (entry.rank <= (this.#announced?.revision ?? 0)) return;
       this.#announced = { revision: entry.rank, fromId };
@@ -176,24 +173,13 @@
   #isReadDue(nowMs: number): boolean {
     if (this.#isReading) return false;
     if (this.dependencies.table.storeRevision === 0) {
-      return this.#isFirstReadDue(nowMs);
+      return this.#firstRead.isDue(nowMs);
     }
     if (this.#behindSinceMs !== undefined && nowMs - this.#behindSinceMs >= gossipLagMaxMs)
       return true;
     return !this.#isWatching && !this.#isWatcher() && nowMs >= this.#nextReadAtMs;
   }
 
-  /** Whether to read the first orders from the store: watchers first, the others if no peer has any. */
-  #isFirstReadDue(nowMs: number): boolean {
-    const { members, watchers, random } = this.dependencies;
-    this.#startedAtMs ??= nowMs;
-    if (members.fleetSize() <= 1) return nowMs >= this.#startedAtMs + aloneAfterMs;
-    this.#firstReadAtMs ??=
-      nowMs + firstReadDelayMinMs + firstReadDelaySpreadMs * (1 + random.next());
-    if (watchers.isWatcher()) return nowMs >= this.#startedAtMs + firstReadDelayMinMs;
-    return nowMs >= this.#firstReadAtMs;
-  }
-
   #scheduleRead(): void {
     const meanMs = Math.max(
       nodeReadIntervalMinMs,
@@ -253,7 +239,10 @@
 
   async #watchStore(): Promise<void> {
     const { table, store, ordersPrefix } = this.dependencies;
-    const changes = await store.watchRange(ordersPrefix, table.storeRevision, watchWaitMs);
+    const { watchers, takeover } = this.dependencies;
+    const isLater = watchers.rank() > 0 && !takeover.isActive();
+    const waitMs = isLater ? laterWatchWaitMs : watchWaitMs;
+    const changes = await store.watchRange(ordersPrefix, table.storeRevision, waitMs);
     if (!table.applyChanges(changes)) return;
     this.#nextWatchAtMs = monotonicNowMs() + watchPauseMs;
     this.#onChanged();
--- a/packages/orders/src/watcher-selector.ts
+++ b/packages/orders/src/watcher-selector.ts
@@ -36,7 +36,12 @@
 
   /** Whether this node watches the store; a node that knows no other member does. */
   isWatcher(): boolean {
-    return this.#current().rankedIds.slice(0, fleetWatchersCount).includes(this.members.selfId);
+    return this.rank() < fleetWatchersCount;
+  }
+
+  /** Rank of this node among all that may watch; 0 is the first. */
+  rank(): number {
+    return this.#current().rankedIds.indexOf(this.members.selfId);
   }
 
   /** Returns the ids of the nodes that follow this one and the watchers in rank. */
--- a/packages/routing/src/test-support/large-fleet.ts
+++ b/packages/routing/src/test-support/large-fleet.ts
@@ -1,7 +1,8 @@
 import { monotonicNowMs, SeededRandom } from '@sequoiafield/tables';
 import { sampleMember, SampleOrders, type PausedClock } from '@sequoiafield/test-kit';
-import type { LoadReport, MemberRow, MemberView } from '@sequoiafield/types';
+import type { MemberRow, MemberView } from '@sequoiafield/types';
 import { MeshRouter } from '../index.js';
+import { FleetServer } from './fleet-server.js';
 
 const service = 's';
 const route = 'look';
@@ -9,7 +10,6 @@
 /** Attempts at members that are expected to have a free slot, as the call path makes them. */
 const unqueuedAttemptsMax = 2;
 const slowFactor = 4;
-const meanWeight = 0.05;
 
 /** Size of a fleet; each server has a node that makes calls. */
 export interface LargeFleetOptions {
@@ -42,39 +42,6 @@
   slowShare: number;
 }
 
-interface Waiting {
-  readonly arrivedAtMs: number;
-  readonly start: (waitMs: number) => void;
-}
-
-/** Server with slots and a queue; service times are exponential around its mean. */
-class FleetServer {
-  running = 0;
-
-  served = 0;
-
-  meanServiceMs = 0;
-
-  readonly queue: Waiting[] = [];
-
-  constructor(
-    readonly row: MemberRow,
-    readonly slots: number,
-    readonly serviceMs: number,
-  ) {}
-
-  load(): LoadReport {
-    const { running, queue, slots, meanServiceMs } = this;
-    return {
-      runningCalls: running,
-      queuedCalls: queue.length,
-      slotsNow: slots,
-      meanServiceMs,
-      failureRatio: 0,
-    };
-  }
-}
-
 /**
  * Plays calls of a large fleet on real routers and simulated servers in virtual time. Members, their
  * loads and the calls per node are those of the users' sites; the network takes no time.
@@ -171,7 +138,7 @@
   #admit(callerIndex: number, server: FleetServer): void {
     const caller = this.#servers[callerIndex]!.row;
     this.#result.calls += 1;
-    server.served += 1;
+    server.count();
     if (server.row.dataCentre !== caller.dataCentre) this.#result.leftDataCentre += 1;
     const start = (waitMs: number): void => this.#start(callerIndex, server, waitMs);
     if (server.running < server.slots) {
@@ -182,15 +149,12 @@
   }
 
   #start(callerIndex: number, server: FleetServer, waitMs: number): void {
-    const changed = server;
     this.#result.meanWaitMs += waitMs;
-    changed.running += 1;
+    server.begin();
     const serviceMs = -Math.log(1 - this.#random.next()) * server.serviceMs;
     this.#timesMs.push(waitMs + serviceMs);
     const end = (): void => {
-      changed.running -= 1;
-      const mean = server.meanServiceMs || serviceMs;
-      changed.meanServiceMs = mean + (serviceMs - mean) * meanWeight;
+      server.end(serviceMs);
       this.#routers[callerIndex]!.report({
         ...{ memberId: server.row.id, service, route, hasFailed: false },
         ...{ latencyMs: waitMs + serviceMs, load: server.load() },
