Read cancels before calls that waited unread, and show that idle links carry nothing

Without heartbeats on idle links, the clock of a suspended machine is noticed only by the next frame. Change: an open frame that was written over 150 ms ago starts two turns of the event loop later, and not at all if its cancel has been read; one that seems to be over 1 s old is refused as not run, and the clocks are compared again.

--- a/packages/transport/src/inbound-attempt.ts
+++ b/packages/transport/src/inbound-attempt.ts
@@ -38,8 +38,12 @@
     this.#answerBodySender = new BodySender(connection, sequence, limits.windowBytes);
   }
 
-  /** Runs the call and sends its result. */
+  /** Runs the call and sends its result; a call that was cancelled before does not start. */
   async run(receiver: CallReceiver): Promise<void> {
+    if (this.#cancellation.aborted) {
+      this.onEnded(this.open.attempt.sequence);
+      return;
+    }
     let result: CallResult;
     try {
       result = await receiver.receive(this.open, this.#bodyReceiver.channel, this.#cancellation);
--- a/packages/transport/src/inbound-session.ts
+++ b/packages/transport/src/inbound-session.ts
@@ -23,6 +23,9 @@
  */
 const transitMaxMs = 1000;
 
+/** Transit time of an open frame above which frames behind it are read before its call starts. */
+const transitLateMs = 150;
+
 /** Handles the requests of one kind and returns the body of the response. */
 export type LinkRequestHandler = (body: unknown, fromId: string) => unknown | Promise<unknown>;
 
@@ -111,7 +114,21 @@
       (endedSequence) => this.#attempts.delete(endedSequence),
     );
     this.#attempts.set(sequence, attempt);
-    attempt.run(this.context.receiver).catch(() => this.connection.terminate());
+    const start = (): void => {
+      attempt.run(this.context.receiver).catch(() => this.connection.terminate());
+    };
+    if (this.#isLate(sentAtMs)) setImmediate(() => setImmediate(start));
+    else start();
+  }
+
+  /**
+   * Whether an open frame has waited unread for so long that its caller may have left meanwhile. The
+   * cancel then waits behind it, and is read one turn of the event loop later.
+   */
+  #isLate(sentAtMs: number | undefined): boolean {
+    if (sentAtMs === undefined) return false;
+    const sentAtLocalMs = this.connection.clock.toLocalMs(sentAtMs) ?? 0;
+    return monotonicNowMs() - sentAtLocalMs > transitLateMs;
   }
 
   #checkAttempt(open: CallOpen, sentAtMs: number | undefined): AttemptCheckResult {
--- a/packages/transport/src/receiving.test.ts
+++ b/packages/transport/src/receiving.test.ts
@@ -5,7 +5,7 @@
 import { monotonicNowMs } from '@sequoiafield/tables';
 import { decodeRefusal } from './call-codec.js';
 import { AttemptCheckResult, type AttemptGuard, type TransportMechanisms } from './index.js';
-import { FrameKind } from './frames.js';
+import { encodeFrame, FrameKind } from './frames.js';
 import { RawPeer, makeCallOpen, encodeOpenFrame } from './test-support/raw-peer.js';
 import { makeAnswer, TransportFixture } from './test-support/transport-fixture.js';
 
@@ -111,6 +111,40 @@
   assert.equal(runs, 1, 'the late call runs without the link clock');
 });
 
+const cancelFrame = (sequence: number): Uint8Array[] => encodeFrame(FrameKind.Cancel, sequence);
+
+/** Sends an open frame that was written some time ago and its cancel; returns what the node did. */
+const sendLateOpenAndCancel = async (
+  sentBeforeMs: number,
+): Promise<{ runs: number; refusals: string[]; pings: number }> => {
+  const node = await new TransportFixture('b').start();
+  const peer = await RawPeer.dial(node.transport.linkPort, 'a');
+  peer.send(encodeOpenFrame(makeCallOpen(1), sentBeforeMs));
+  peer.send(cancelFrame(1));
+  peer.send(encodeOpenFrame(makeCallOpen(9)));
+  await waitUntil(() => peer.frames.some(({ kind, id }) => kind === FrameKind.End && id === 9));
+  await setTimeout(20);
+  const refusals = peer.frames
+    .filter(({ kind }) => kind === FrameKind.Refuse)
+    .map(({ payload }) => decodeRefusal(payload))
+    .map(({ outcome, reason }) => `${outcome} ${reason}`);
+  const pings = peer.frames.filter(({ kind }) => kind === FrameKind.Heartbeat).length;
+  peer.socket.terminate();
+  await node.stop();
+  return { runs: node.executedRequestIds.filter((id) => id === 'r-1').length, refusals, pings };
+};
+
+test('a call that waited unread does not start if its cancel waits behind it', async () => {
+  // Guards against work on a node without processor time for callers that left long ago.
+  assert.equal((await sendLateOpenAndCancel(400)).runs, 0);
+});
+
+test('an open frame whose clock seems to stand still is refused, and the clocks are compared', async () => {
+  // Guards against deadlines converted with the clock of a machine that was suspended meanwhile.
+  const { runs, refusals, pings } = await sendLateOpenAndCancel(3000);
+  assert.deepEqual([runs, refusals, pings > 0], [0, ['not-run not-ready'], true]);
+});
+
 test('a cancel or a lost connection aborts the running call', async () => {
   // Guards against work for callers that have cancelled or disconnected.
   const abortMessages: string[] = [];
@@ -125,10 +159,7 @@
   peer.send(encodeOpenFrame(makeCallOpen(1)), encodeOpenFrame(makeCallOpen(2)));
   peer.send([Buffer.concat(encodeOpenFrame(makeCallOpen(3)))]);
   await waitUntil(() => node.executedRequestIds.length === 3);
-  const cancel = Buffer.alloc(13);
-  cancel[4] = FrameKind.Cancel;
-  cancel.writeDoubleBE(1, 5);
-  peer.send([cancel]);
+  peer.send(cancelFrame(1));
   await waitUntil(() => abortMessages.length === 1);
   peer.socket.terminate();
   await waitUntil(() => abortMessages.length === 3);
--- a/packages/transport/src/silent-link.test.ts
+++ b/packages/transport/src/silent-link.test.ts
@@ -73,6 +73,31 @@
   matchSnapshot(import.meta.filename, 'results per fault', resultsByFault);
 });
 
+test('a link without running calls carries no heartbeats, and a silent one is still found', async () => {
+  // Guards against messages without work, whose number grows with the peers of each node.
+  const receiverNode = await new TransportFixture('b', async (open) => {
+    if (open.requestId === 'long') await setTimeout(350);
+    return makeAnswer('done');
+  }).start();
+  const senderNode = await new TransportFixture('a', undefined, { limits }).start();
+  const { signal } = new AbortController();
+  const member = TransportFixture.makeMember('b', receiverNode.transport.linkPort);
+  const send = async (requestId: string): Promise<number> => {
+    const open = makeCallOpen(senderNode.transport.attemptSequence.next(), { requestId });
+    const before = senderNode.transport.counters.framesSent;
+    await senderNode.transport.send(member, open, undefined, signal);
+    return senderNode.transport.counters.framesSent - before;
+  };
+  await send('first');
+  const shortFrames = await send('short');
+  const before = senderNode.transport.counters.framesSent;
+  await setTimeout(600);
+  assert.equal(senderNode.transport.counters.framesSent, before);
+  assert.ok((await send('long')) > shortFrames, 'a call that takes long is watched');
+  await senderNode.stop();
+  await receiverNode.stop();
+});
+
 test('resending a non-idempotent call runs it twice', async () => {
   // Checks that the test above detects a duplicate run.
   const resendPolicy = { mayResend: () => true };
--- a/packages/transport/src/test-support/raw-peer.ts
+++ b/packages/transport/src/test-support/raw-peer.ts
@@ -95,6 +95,8 @@
   ...overrides,
 });
 
-/** Encodes the open frame of a test call. */
-export const encodeOpenFrame = (open: CallOpen): Uint8Array[] =>
-  encodeFrame(FrameKind.Open, open.attempt.sequence, encodeOpen(open, monotonicNowMs()));
+/** Encodes the open frame of a test call that was written some time ago. */
+export const encodeOpenFrame = (open: CallOpen, sentBeforeMs = 0): Uint8Array[] => {
+  const payload = encodeOpen(open, monotonicNowMs() - sentBeforeMs);
+  return encodeFrame(FrameKind.Open, open.attempt.sequence, payload);
+};
