--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -106,6 +106,12 @@
     'memberDead',
     'Several observers could not reach a member; it gets no new work.',
   ),
+  memberItemMalformed: defineEvent(
+    1203,
+    EventLevel.Warn,
+    'memberItemMalformed',
+    'A peer sent a malformed row, state or register; it is ignored, and the others count.',
+  ),
   snapshotInForce: defineEvent(
     1300,
     EventLevel.Info,
--- a/packages/membership/src/counters.ts
+++ b/packages/membership/src/counters.ts
@@ -6,6 +6,8 @@
   receivedBytes: number;
   /** Datagrams that were malformed or came from a foreign sender. */
   droppedDatagrams: number;
+  /** Items of datagrams and rows of exchanges that were malformed. */
+  droppedItems: number;
   /** Flushes of pending pushes that were deferred because the byte budget was exhausted. */
   deferredPushes: number;
 }
@@ -17,5 +19,6 @@
   receivedDatagrams: 0,
   receivedBytes: 0,
   droppedDatagrams: 0,
+  droppedItems: 0,
   deferredPushes: 0,
 });
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@sequoiafield/logger';
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
 import { MemberState, type MemberAnnouncement, type RegisterEntry } from '@sequoiafield/types';
 import { ByteBudget } from './byte-budget.js';
@@ -7,6 +8,8 @@
 import type { KnownMemberState, MembersTable } from './members-table.js';
 import type { GossipPeerSelector } from './gossip-peer-selector.js';
 import type { SpreadPolicy } from './policies.js';
+import { MalformedItemLog } from './malformed-item-log.js';
+import { PushQueue } from './push-queue.js';
 import { RegisterRepair } from './register-repair.js';
 import type { RegisterTable } from './register-table.js';
 import { itemOverheadBytes, RumourQueue } from './rumour-queue.js';
@@ -29,12 +32,6 @@
 /** Address and port that a datagram is sent to. */
 export type GossipAddress = Pick<MemberAnnouncement, 'address' | 'gossipPort'>;
 
-interface PendingPush {
-  readonly key: string;
-  readonly bytes: Uint8Array;
-  readonly queuedAtMs: number;
-}
-
 /** Options of one datagram. */
 export interface DatagramOptions {
   readonly sequence?: number;
@@ -54,8 +51,6 @@
  * whole rows over links, and the rows of a fleet that starts at once would take the most bytes of all.
  */
 const quietSendsMax = 4;
-/** A push that waits longer for the byte budget is dropped; it also spreads as a rumour. */
-const pushExpiryMs = 3000;
 
 /**
  * Maximum number of times that one process raises its announced incarnation. Outranking a former
@@ -73,6 +68,7 @@
   readonly socket: DatagramSocket;
   readonly spreadPolicy: SpreadPolicy;
   readonly ownConfigVersion: () => number;
+  readonly logger: Logger;
   /** Called when a state names a member or incarnation whose row is missing. */
   readonly onUnknownMember: () => void;
 }
@@ -89,13 +85,15 @@
 
   readonly counters = createMembershipCounters();
 
+  readonly malformedItems: MalformedItemLog;
+
   readonly #rumourQueue = new RumourQueue();
 
   readonly #budget = new ByteBudget(sentMaxBytesPerS, sentBurstMaxBytes);
 
   readonly #handlers = new Map<GossipMessageType, MessageHandler>();
 
-  #pendingPushes: PendingPush[] = [];
+  readonly #pushQueue = new PushQueue();
 
   #announcedRaises = 0;
 
@@ -104,6 +102,7 @@
   readonly #repair: RegisterRepair;
 
   constructor(private readonly dependencies: GossipDependencies) {
+    this.malformedItems = new MalformedItemLog(this.counters, dependencies.logger);
     this.#repair = new RegisterRepair(dependencies, {
       hasBytesLeft: () => this.#budget.hasBytesLeft(),
       send: (type, to, options) => this.send(type, to, options),
@@ -208,20 +207,16 @@
   #spread(key: string, bytes: Uint8Array, isUrgent: boolean): void {
     this.#rumourQueue.put(key, bytes, isUrgent ? undefined : quietSendsMax);
     if (!isUrgent || this.dependencies.spreadPolicy.pushFanOut === 0) return;
-    this.#pendingPushes = this.#pendingPushes.filter((pending) => pending.key !== key);
     const nowMs = monotonicNowMs();
-    this.#pendingPushes.push({ key, bytes, queuedAtMs: nowMs });
+    this.#pushQueue.put(key, bytes, nowMs);
     if (nowMs - this.#lastPushAtMs >= pushBatchIntervalMs) this.#flush();
   }
 
   #flush(): void {
-    if (this.#pendingPushes.length === 0) return;
+    if (this.#pushQueue.isEmpty) return;
     if (!this.#budget.hasBytesLeft()) {
       this.counters.deferredPushes += 1;
-      const expiredAtMs = monotonicNowMs() - pushExpiryMs;
-      this.#pendingPushes = this.#pendingPushes.filter(
-        ({ queuedAtMs }) => queuedAtMs > expiredAtMs,
-      );
+      this.#pushQueue.expire(monotonicNowMs());
       return;
     }
     this.#lastPushAtMs = monotonicNowMs();
@@ -230,28 +225,13 @@
       true,
     );
     if (peers.length === 0) {
-      this.#pendingPushes = [];
+      this.#pushQueue.clear();
       return;
     }
-    const batch = this.#takeBatch();
+    const batch = this.#pushQueue.takeBatch();
     for (const peer of peers) this.send(GossipMessageType.Push, peer, { items: batch });
   }
 
-  /** Takes the newest pushes that fit into one datagram; the rest stay pending for the next tick. */
-  #takeBatch(): Uint8Array[] {
-    const headerBytes = 160;
-    const batch: Uint8Array[] = [];
-    let usedBytes = headerBytes;
-    while (this.#pendingPushes.length > 0) {
-      const next = this.#pendingPushes[this.#pendingPushes.length - 1] as PendingPush;
-      usedBytes += next.bytes.length + itemOverheadBytes;
-      if (usedBytes > datagramMaxBytes && batch.length > 0) break;
-      this.#pendingPushes.pop();
-      batch.push(next.bytes);
-    }
-    return batch;
-  }
-
   #transmit(bytes: Uint8Array, to: GossipAddress): void {
     this.counters.sentDatagrams += 1;
     this.counters.sentBytes += bytes.length;
@@ -265,7 +245,7 @@
     try {
       const message = decodeMessage(bytes);
       if (message.fromId === this.dependencies.members.selfId) return;
-      for (const item of message.items) this.#apply(item, message.fromId);
+      for (const item of message.items) this.#applyItem(item, message.fromId);
       if (this.dependencies.spreadPolicy.isRepairEnabled) this.#repair.compare(message);
       this.#handlers.get(message.type)?.(message);
     } catch {
@@ -273,6 +253,15 @@
     }
   }
 
+  /** Applies an item; a malformed one costs itself only. */
+  #applyItem(bytes: Uint8Array, fromId: string): void {
+    try {
+      this.#apply(bytes, fromId);
+    } catch (error) {
+      this.malformedItems.record(fromId, error);
+    }
+  }
+
   #apply(bytes: Uint8Array, fromId: string): void {
     const item = decodeItem(bytes);
     if (item.kind === GossipItemKind.Register)
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
+import { SilentLogger } from '@sequoiafield/logger';
 import { matchSnapshot } from '@sequoiafield/test-kit';
 import {
   DirectMessageKind,
@@ -8,6 +9,8 @@
   MemberState,
 } from '@sequoiafield/types';
 import type { GossipRow } from './gossip-row.js';
+import { createMembershipCounters } from './counters.js';
+import { MalformedItemLog } from './malformed-item-log.js';
 import { MembersTable } from './members-table.js';
 import { RowSync } from './row-sync.js';
 import {
@@ -179,11 +182,12 @@
     refutation: 0,
   });
   await fleet.start(1);
+  const malformedItems = new MalformedItemLog(createMembershipCounters(), new SilentLogger());
   const syncNodes = ['peer-0', 'peer-1', 'peer-2', 'joining'].map((id, index) => {
     const requester = fleet.network.links(membershipNodeAddress(100 + index), id);
     const table = new MembersTable({ ...rowOf(0), id });
     for (let row = 0; row < 2000 && id !== 'joining'; row++) table.merge(rowOf(row));
-    return { table, sync: new RowSync(table, requester), row: { ...rowOf(0), id } };
+    return { table, sync: new RowSync(table, requester, malformedItems), row: { ...rowOf(0), id } };
   });
   const requestCounts: Record<string, number> = {};
   fleet.network.onRequest = (_, kind, toId) => {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -134,11 +134,12 @@
     socket,
     spreadPolicy,
     ownConfigVersion: options.ownConfigVersion,
+    logger,
     onUnknownMember: () => createdJoiner?.syncSoon(),
   });
   const gossip = createdGossip;
   const prober = new Prober(members, gossip, suspicions, peerSelector, suspicionPolicy, random);
-  const rowSync = new RowSync(members, links);
+  const rowSync = new RowSync(members, links, gossip.malformedItems);
   const isReady = options.isReady ?? (() => true);
   const joiner = new Joiner(members, gossip, prober, rowSync, peerSelector, random, isReady);
   createdJoiner = joiner;
--- a/packages/membership/src/row-sync.ts
+++ b/packages/membership/src/row-sync.ts
@@ -7,6 +7,7 @@
 import { createMembershipError } from './create-membership-error.js';
 import type { GossipRow } from './gossip-row.js';
 import { hashText32 } from './hash.js';
+import type { MalformedItemLog } from './malformed-item-log.js';
 import type { MembersTable } from './members-table.js';
 import { rowToTuple, tupleToRow, type RowTuple } from './wire.js';
 
@@ -51,6 +52,7 @@
   constructor(
     private readonly members: MembersTable,
     private readonly links: LinkRequester,
+    private readonly malformedItems: MalformedItemLog,
   ) {
     links.handle(LinkRequestKind.MemberDigests, (body) => this.#differingBuckets(body));
     links.handle(LinkRequestKind.MemberRows, (body) => this.#rowsOf(body));
@@ -97,10 +99,21 @@
         `Member rows of ${peer.id} are malformed: rows is not an array or coveredBuckets not an integer`,
       );
     }
-    const merged = answer.rows.map(tupleToRow).filter((row) => this.members.merge(row));
+    const rows = answer.rows.flatMap((tuple) => this.#readRow(tuple, peer.id));
+    const merged = rows.filter((row) => this.members.merge(row));
     return { merged: merged.length, coveredBuckets: Math.max(1, answer.coveredBuckets ?? 1) };
   }
 
+  /** Reads a row; a malformed one costs itself only. */
+  #readRow(tuple: unknown, fromId: string): readonly GossipRow[] {
+    try {
+      return [tupleToRow(tuple)];
+    } catch (error) {
+      this.malformedItems.record(fromId, error);
+      return [];
+    }
+  }
+
   async #request(peer: MemberAnnouncement, kind: LinkRequestKind, body: unknown): Promise<unknown> {
     try {
       return await this.links.request(peer, kind, body, requestTimeoutMs);
--- a/packages/membership/src/wire.ts
+++ b/packages/membership/src/wire.ts
@@ -1,3 +1,4 @@
+import { isIP } from 'node:net';
 import { MemberState, RegisterKind, type RegisterEntry } from '@sequoiafield/types';
 import { Packr } from 'msgpackr';
 import { createMembershipError } from './create-membership-error.js';
@@ -111,6 +112,16 @@
 const asNonNegativeNumber = (value: unknown, what: string): number =>
   typeof value === 'number' && Number.isFinite(value) && value >= 0 ? value : throwMalformed(what);
 
+const asIpAddress = (value: unknown, what: string): string =>
+  typeof value === 'string' && isIP(value) !== 0 ? value : throwMalformed(what);
+
+const portMax = 65_535;
+
+const asPort = (value: unknown, what: string): number =>
+  Number.isInteger(value) && (value as number) > 0 && (value as number) <= portMax
+    ? (value as number)
+    : throwMalformed(what);
+
 const asState = (value: unknown): MemberState =>
   typeof value === 'number' && MemberState[value] !== undefined ? value : throwMalformed('state');
 
@@ -154,10 +165,10 @@
     refutation: asNonNegativeNumber(tuple[2], 'refutation'),
     state: asState(tuple[3]),
     configVersion: asNonNegativeNumber(tuple[4], 'configVersion'),
-    address: asText(tuple[5], 'address'),
-    gossipPort: asNonNegativeNumber(tuple[6], 'gossipPort'),
-    linkPort: asNonNegativeNumber(tuple[7], 'linkPort'),
-    callPort: asNonNegativeNumber(tuple[8], 'callPort'),
+    address: asIpAddress(tuple[5], 'address'),
+    gossipPort: asPort(tuple[6], 'gossipPort'),
+    linkPort: asPort(tuple[7], 'linkPort'),
+    callPort: asPort(tuple[8], 'callPort'),
     region: asText(tuple[9], 'region'),
     dataCentre: asText(tuple[10], 'dataCentre'),
     service: asText(tuple[11], 'service'),
--- a/packages/moves/src/create-moves.ts
+++ b/packages/moves/src/create-moves.ts
@@ -13,7 +13,7 @@
   type RegisterGossip,
   type RolloutView,
 } from '@sequoiafield/types';
-import type { ServerEvidence } from './server-evidence.js';
+import { readServerEvidence } from './read-server-evidence.js';
 import { EvidenceSender, type OwnServerView } from './evidence-sender.js';
 import { JudgeSelector } from './judge-selector.js';
 import { MoveJudge } from './move-judge.js';
@@ -79,18 +79,6 @@
   }
 }
 
-/** Reads evidence received from another node; undefined if the message is malformed. */
-const readEvidence = (body: unknown): ServerEvidence | undefined => {
-  const evidence = (body ?? {}) as Partial<ServerEvidence>;
-  const isEvidence =
-    typeof evidence.service === 'string' &&
-    typeof evidence.orderRevision === 'number' &&
-    typeof evidence.backendVersion === 'string' &&
-    typeof evidence.runningCalls === 'number' &&
-    typeof evidence.routes === 'object';
-  return isEvidence ? (evidence as ServerEvidence) : undefined;
-};
-
 /**
  * Creates the components of one node that run moves; their `systems` must run in its tick loop.
  *
@@ -110,7 +98,7 @@
     onOwnEvidence: (evidence) => judge.addEvidence(selfId, evidence),
   });
   messenger.subscribe(DirectMessageKind.MoveEvidence, (body, fromId) => {
-    const evidence = readEvidence(body);
+    const evidence = readServerEvidence(body);
     if (evidence) judge.addEvidence(fromId, evidence);
   });
   return {
--- a/packages/transport/src/outbound-link.ts
+++ b/packages/transport/src/outbound-link.ts
@@ -184,7 +184,15 @@
     }
     this.#dialStartedAtMs = nowMs;
     const { self, counters, mechanisms } = this.context;
-    const socket = this.context.dial(this.member);
+    let socket: WebSocket;
+    try {
+      socket = this.context.dial(this.member);
+    } catch (error) {
+      // An address that cannot be dialled, as one in a malformed entry, costs only the calls to it.
+      this.#recordDialFailure();
+      this.#failQueued(`the address cannot be dialled: ${String(error)}`, false);
+      return;
+    }
     this.#candidateSession = new OutboundSession(socket, self, this, counters, mechanisms);
   }
 
