End an answer that is longer than the largest body

Cause: a backend server in trouble may send chunks until its caller closes; the exchange handed them on until the deadline, 342 MB in 0.7 s in the test. Change: an exchange fails once its body is longer than the largest body of a call. Tests play eleven kinds of bytes without end in a head, in a body and behind an answer.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -1,7 +1,7 @@
 import { CallError } from '@sequoiafield/errors';
 import { BodyChannel, type BodyChannelOwner } from '@sequoiafield/transport';
 import { monotonicNowMs } from '@sequoiafield/tables';
-import { RefusalReason, type CallOpen, type CallRefusal } from '@sequoiafield/types';
+import { bodyMaxBytes, RefusalReason, type CallOpen, type CallRefusal } from '@sequoiafield/types';
 import type { Dispatcher } from 'undici';
 import type { BackendRequestOutcome, BackendResult } from './backend-client.js';
 import { AnswerKind, type CallProtocol, type HeaderPair } from './call-protocol.js';
@@ -36,6 +36,9 @@
 
   #bufferedBytes = 0;
 
+  /** Bytes of the body so far; a server in trouble may send bytes without end. */
+  #receivedBytes = 0;
+
   #wasWritten = false;
 
   #isEnded = false;
@@ -166,6 +169,11 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (!this.#body) return;
+    this.#receivedBytes += chunk.byteLength;
+    if (this.#receivedBytes > bodyMaxBytes) {
+      controller.abort(new CallError(`The answer is longer than ${bodyMaxBytes} bytes`));
+      return;
+    }
     this.#bufferedBytes += chunk.byteLength;
     this.#body.push(chunk);
     if (!this.#isAnswerResolved) {
