Bound the bytes of an answer where its connection is read

Change: the connection allows the bytes of one answer from each request on and closes when more arrive.

--- a/packages/calls/src/endless-answers.test.ts
+++ b/packages/calls/src/endless-answers.test.ts
@@ -130,7 +130,7 @@
   // Guards against a slot that is never free again, and against memory that grows with the bytes.
   for (const [name, answer] of Object.entries(endlessHeads)) {
     const result = await callEndlessServer(answer);
-    assert.equal(result.outcome, RefusalOutcome.Unknown, name);
+    assert.equal(result.outcome, String(RefusalOutcome.Unknown), name);
     checkBounds(name, result);
   }
 });
@@ -139,7 +139,8 @@
   // Guards against a client that takes the part of an endless answer for the whole.
   for (const [name, answer] of Object.entries(endlessBodies)) {
     const result = await callEndlessServer(answer);
-    const isIncomplete = result.outcome === RefusalOutcome.Unknown || result.body === 'failed';
+    const isIncomplete =
+      result.outcome === String(RefusalOutcome.Unknown) || result.body === 'failed';
     assert.ok(isIncomplete, `${name}: ${result.outcome} ${result.body}`);
     checkBounds(name, result);
   }
--- a/packages/calls/src/keep-alive-connection-pool.ts
+++ b/packages/calls/src/keep-alive-connection-pool.ts
@@ -72,6 +72,7 @@
   #writeRequest(connection: KeepAliveConnection, { options, exchange }: PendingRequest): void {
     exchange.useConnection(connection);
     exchange.onceReleased(() => this.#release(connection, exchange));
+    connection.expectAnswer();
     connection.client.dispatch(options, exchange);
   }
 
--- a/packages/calls/src/keep-alive-connection.ts
+++ b/packages/calls/src/keep-alive-connection.ts
@@ -1,4 +1,7 @@
 import { monotonicNowMs } from '@sequoiafield/tables';
+import { bodyMaxBytes } from '@sequoiafield/types';
+import type { Socket } from 'node:net';
+import { CallError } from '@sequoiafield/errors';
 import { buildConnector, Client } from 'undici';
 import type { BackendExchange } from './backend-exchange.js';
 
@@ -8,6 +11,15 @@
  */
 const reuseDelayMaxMs = 1000;
 
+/** Bytes of a whole answer at most: the largest body, its framing and the head. */
+const answerMaxBytes = bodyMaxBytes + 1024 * 1024;
+
+interface WatchedState {
+  hasErrored: boolean;
+  socket: Socket | undefined;
+  readBytesMax: number;
+}
+
 /**
  * Creates a client whose connection is watched for errors. If an answer has no length, `undici`
  * takes the part before a reset for the complete answer (`onHttpSocketError` in its HTTP/1.1
@@ -21,13 +33,22 @@
   options: Client.Options,
   connectTimeoutMs: number,
 ): WatchedClient => {
-  const state = { hasErrored: false };
+  const state: WatchedState = { hasErrored: false, socket: undefined, readBytesMax: 0 };
+  const expectAnswer = (): void => {
+    state.readBytesMax = (state.socket?.bytesRead ?? 0) + answerMaxBytes;
+  };
   const connector = buildConnector({ timeout: connectTimeoutMs });
   const client = new Client(origin, {
     ...options,
     connect: (target, callback) =>
       connector(target, (...result) => {
         const socket = result[1];
+        state.socket = socket ?? undefined;
+        // Parsers skip empty lines and the extensions of chunks without counting them.
+        socket?.on('readable', () => {
+          if (socket.bytesRead <= state.readBytesMax) return;
+          socket.destroy(new CallError(`The server sent over ${answerMaxBytes} bytes`));
+        });
         // Registered before the listeners of `undici`, so that the flag is set when the answer
         // ends.
         socket?.on('error', () => {
@@ -41,13 +62,15 @@
         callback(...result);
       }),
   });
-  return { client, hasErrored: () => state.hasErrored };
+  return { client, hasErrored: () => state.hasErrored, expectAnswer };
 };
 
 /** A client and whether its connection ended with an error. */
 export interface WatchedClient {
   readonly client: Client;
   readonly hasErrored: () => boolean;
+  /** Allows the bytes of one answer from now on; the connection closes when more arrive. */
+  readonly expectAnswer: () => void;
 }
 
 /** Connection to the backend server that carries one request at a time. */
@@ -63,6 +86,11 @@
     return this.watched.client;
   }
 
+  /** Prepares the connection for the answer to the next request. */
+  expectAnswer(): void {
+    this.watched.expectAnswer();
+  }
+
   /** Whether the connection ended with an error, such as a reset. */
   get hasErrored(): boolean {
     return this.watched.hasErrored();
