Read the store only if a node gets no newer revision at all, and watch once selected for a second

Change: the lag counts from the last revision that arrived; a node watches after it has been selected for 1 s. Result: the test of a storm with 60 ms per fetch fails without the change.

--- a/packages/orders/src/first-read-schedule.ts
+++ b/packages/orders/src/first-read-schedule.ts
@@ -44,6 +44,6 @@
     }
     if (fleetSize <= 1) return nowMs >= this.#startedAtMs + aloneAfterMs;
     this.#readAtMs ??= nowMs + firstReadDelayMinMs + firstReadDelaySpreadMs * this.random.next();
-    return nowMs >= (this.watchers.isWatcher() ? this.#settledAtMs : this.#readAtMs);
+    return nowMs >= (this.watchers.isSelected() ? this.#settledAtMs : this.#readAtMs);
   }
 }
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -89,8 +89,11 @@
   /** Highest revision that a peer announced, and the peer. */
   #announced: { readonly revision: number; readonly fromId: string } | undefined;
 
+  /** Time since which this node has been behind without getting any newer revision. */
   #behindSinceMs: number | undefined;
 
+  #revisionWhenBehind = 0;
+
   #failures = 0;
 
   #retryAtMs = 0;
@@ -164,9 +167,13 @@
   }
 
   #trackGossipLag(nowMs: number): void {
-    const head = this.dependencies.registers.read(RegisterKind.Head, headRegisterKey);
-    const isBehind = (head?.rank ?? 0) > this.dependencies.table.storeRevision;
-    if (!isBehind) this.#behindSinceMs = undefined;
+    const { table, registers } = this.dependencies;
+    const head = registers.read(RegisterKind.Head, headRegisterKey);
+    const isBehind = (head?.rank ?? 0) > table.storeRevision;
+    const hasAdvanced = table.storeRevision !== this.#revisionWhenBehind;
+    this.#revisionWhenBehind = table.storeRevision;
+    // In a storm of changes a node that follows is always behind the newest revision.
+    if (!isBehind || hasAdvanced) this.#behindSinceMs = isBehind ? nowMs : undefined;
     else this.#behindSinceMs ??= nowMs;
   }
 
--- a/packages/orders/src/test-support/orders-fixture.ts
+++ b/packages/orders/src/test-support/orders-fixture.ts
@@ -32,6 +32,9 @@
 
   isLinked = true;
 
+  /** Time in ms that each request over a link takes. */
+  linkDelayMs = 0;
+
   constructor(dataCentres: readonly string[], storeOf: (id: string) => FakeRangeStore) {
     dataCentres.forEach((dataCentre, index) => this.#addRow(`n${index}`, dataCentre));
     for (const { id } of this.#rows) this.#addNode(id, storeOf(id));
@@ -98,6 +101,11 @@
       handle: (_, handler) => this.#handlers.set(id, handler),
       request: async (member, _, body) => {
         if (!this.isLinked) throw new DistributionError(`No link from ${id} to ${member.id}`);
+        if (this.linkDelayMs > 0) {
+          await new Promise((resolve) => {
+            setTimeout(resolve, this.linkDelayMs);
+          });
+        }
         return this.#handlers.get(member.id)?.(body, id);
       },
     };
--- a/packages/orders/src/watcher-selector.ts
+++ b/packages/orders/src/watcher-selector.ts
@@ -10,6 +10,11 @@
 const fleetWatchersCount = 3;
 /** Nodes of one data centre from which the others there fetch orders. */
 const relaysPerDataCentreCount = 1;
+/**
+ * Time for which a node has to be selected before it watches. A node of a fleet that starts knows few
+ * members at first, and nearly each one is selected for a moment.
+ */
+const watchDelayMs = 1000;
 /** Interval between selections; each one reads every member. */
 const selectionIntervalMs = 300;
 
@@ -32,11 +37,22 @@
 
   #selectedAtMs = Number.NEGATIVE_INFINITY;
 
+  #selectedSinceMs: number | undefined;
+
   constructor(private readonly members: MemberView) {}
 
-  /** Whether this node watches the store; a node that knows no other member does. */
+  /** Whether this node is among the first that may watch; one that knows no other member is. */
+  isSelected(): boolean {
+    const rank = this.rank();
+    return rank >= 0 && rank < fleetWatchersCount;
+  }
+
+  /** Whether this node watches the store: it has been selected for some time. */
   isWatcher(): boolean {
-    return this.rank() < fleetWatchersCount;
+    const isSelected = this.isSelected();
+    if (!isSelected) this.#selectedSinceMs = undefined;
+    else this.#selectedSinceMs ??= monotonicNowMs();
+    return isSelected && monotonicNowMs() - this.#selectedSinceMs! >= watchDelayMs;
   }
 
   /** Rank of this node among all that may watch; 0 is the first. */
