--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -84,7 +84,7 @@
   store.put('op/c', '1');
   const fixture = new OrdersFixture(dataCentres, () => store);
   await clock.advance(startMs);
-  fixture.linkDelayMs = 60;
+  fixture.linkDelayMs = 320;
   const before = store.calls;
   const changes = 60;
   for (let version = 2; version <= changes + 1; version++) {
--- a/packages/orders/src/test-support/orders-fixture.ts
+++ b/packages/orders/src/test-support/orders-fixture.ts
@@ -32,7 +32,7 @@
 
   isLinked = true;
 
-  /** Time in ms that each request over a link takes. */
+  /** Time in ms that each answer over a link takes. */
   linkDelayMs = 0;
 
   constructor(dataCentres: readonly string[], storeOf: (id: string) => FakeRangeStore) {
@@ -101,12 +101,13 @@
       handle: (_, handler) => this.#handlers.set(id, handler),
       request: async (member, _, body) => {
         if (!this.isLinked) throw new DistributionError(`No link from ${id} to ${member.id}`);
+        const answer = await this.#handlers.get(member.id)?.(body, id);
         if (this.linkDelayMs > 0) {
           await new Promise((resolve) => {
             setTimeout(resolve, this.linkDelayMs);
           });
         }
-        return this.#handlers.get(member.id)?.(body, id);
+        return answer;
       },
     };
   }
