Close a listener only when no connection waits, and use no slack of retries in the first 3 s

A node that has just restarted knows few members and takes most of the fleet's slack for its part. Ruled out: one turn of the event loop before the close, since it accepts one connection in each turn (4 of 5 were still reset). Change: the listener closes after two turns without a new connection, after 1 s at the latest; a node uses no slack in its first 3 s.

--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -18,6 +18,7 @@
 import { CallScope } from './call-scope.js';
 import type { CallCounters } from './call-counters.js';
 import { DefaultCallProtocol, type CallProtocol } from './call-protocol.js';
+import { closeWhenQuiet } from './close-when-quiet.js';
 import { forwardHeaders } from './headers.js';
 import { pathOf, readDeadlineMs, readRequestId } from './inbound-request.js';
 import { EventLoopLagMonitor } from './event-loop-lag-monitor.js';
@@ -121,7 +122,7 @@
 
   /** Accepts no new connections; requests on open connections continue. */
   stopListening(): void {
-    this.#server.server.close();
+    closeWhenQuiet(this.#server.server);
   }
 
   /** Applies changed limits of callers' connections. */
--- a/packages/routing/src/mesh/fleet-retry-budget.ts
+++ b/packages/routing/src/mesh/fleet-retry-budget.ts
@@ -15,6 +15,11 @@
  */
 const nodeRetryShare = 0.5;
 const bucketsPerWindow = 20;
+/**
+ * Time after its start in which a node uses no slack. It knows few members then, and would take most of
+ * the slack of all for its part.
+ */
+const slackDelayMs = 3000;
 
 interface Bucket {
   readonly startMs: number;
@@ -34,6 +39,8 @@
 export class FleetRetryBudget {
   readonly #services = new Table<Bucket[]>('retry-budgets');
 
+  readonly #startedAtMs = monotonicNowMs();
+
   constructor(
     private readonly limit: RetryLimit,
     private readonly fleetSize: () => number,
@@ -52,7 +59,8 @@
       requests += bucket.requests;
       retries += bucket.retries;
     }
-    const nodeSlack = this.limit.slack / Math.max(1, this.fleetSize());
+    const hasSlack = monotonicNowMs() - this.#startedAtMs >= slackDelayMs;
+    const nodeSlack = hasSlack ? this.limit.slack / Math.max(1, this.fleetSize()) : 0;
     if (retries + 1 > nodeRetryShare * (this.limit.ratio * requests + nodeSlack)) return false;
     currentBucket.retries += 1;
     return true;
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -99,6 +99,22 @@
   return [router, orders];
 };
 
+test('nodes that know few members after a restart keep the limit of the fleet', async () => {
+  // Guards against restarted nodes that each take the slack of the whole fleet for their own.
+  const limit = { ratio: 0.2, slack: 430, windowMs: 10_000 };
+  const restarted = Array.from({ length: 100 }, () => new FleetRetryBudget(limit, () => 2));
+  let requests = 0;
+  let retries = 0;
+  for (let call = 0; call < 8; call++) {
+    for (const budget of restarted) {
+      budget.recordRequest('s');
+      requests += 1;
+      if (budget.takeRetry('s')) retries += 1;
+    }
+  }
+  assert.ok(retries <= 0.2 * requests + 430, `${retries} retries of ${requests}`);
+});
+
 test('the near data centre is preferred while it has free slots, then the far one', () => {
   // Guards against needless traffic between data centres, and against calls to a full near server.
   const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
