--- a/packages/membership/src/counters.ts
+++ b/packages/membership/src/counters.ts
@@ -2,6 +2,8 @@
 export interface MembershipCounters {
   sentDatagrams: number;
   sentBytes: number;
+  /** Part of `sentBytes` that goes to members of other data centres. */
+  sentFarBytes: number;
   receivedDatagrams: number;
   receivedBytes: number;
   /** Datagrams that were malformed or came from a foreign sender. */
@@ -16,6 +18,7 @@
 export const createMembershipCounters = (): MembershipCounters => ({
   sentDatagrams: 0,
   sentBytes: 0,
+  sentFarBytes: 0,
   receivedDatagrams: 0,
   receivedBytes: 0,
   droppedDatagrams: 0,
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -30,7 +30,8 @@
 
 type MessageHandler = (message: GossipMessage) => void;
 /** Address and port that a datagram is sent to. */
-export type GossipAddress = Pick<MemberAnnouncement, 'address' | 'gossipPort'>;
+export type GossipAddress = Pick<MemberAnnouncement, 'address' | 'gossipPort'> &
+  Partial<Pick<MemberAnnouncement, 'dataCentre'>>;
 
 /** Options of one datagram. */
 export interface DatagramOptions {
@@ -235,6 +236,8 @@
   #transmit(bytes: Uint8Array, to: GossipAddress): void {
     this.counters.sentDatagrams += 1;
     this.counters.sentBytes += bytes.length;
+    const isFar = to.dataCentre !== this.dependencies.members.self.dataCentre;
+    if (to.dataCentre !== undefined && isFar) this.counters.sentFarBytes += bytes.length;
     this.#budget.spend(bytes.length);
     this.dependencies.socket.send(bytes, to.gossipPort, to.address);
   }
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -13,7 +13,7 @@
 import { createMoves, type MoveRecordCodec, type Moves } from '@sequoiafield/moves';
 import { createOrders, type Orders, type OrdersDecoder } from '@sequoiafield/orders';
 import { MeshRouter } from '@sequoiafield/routing';
-import type { RangeStore } from '@sequoiafield/store';
+import { CountedRangeStore, type RangeStore } from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import { createTransport, type Transport } from '@sequoiafield/transport';
 import {
@@ -65,6 +65,7 @@
 
 /** The connected components of a node. */
 export interface MeshNodeComponents {
+  readonly store: CountedRangeStore;
   readonly transport: Transport;
   readonly membership: Membership;
   readonly orders: Orders;
@@ -231,8 +232,10 @@
  * const components = createMeshNodeComponents({ settings, platform, incarnation, random, logger });
  */
 export const createMeshNodeComponents = (
-  options: MeshNodeComponentsOptions,
+  givenOptions: MeshNodeComponentsOptions,
 ): MeshNodeComponents => {
+  const store = new CountedRangeStore(givenOptions.platform.store);
+  const options = { ...givenOptions, platform: { ...givenOptions.platform, store } };
   const { settings, platform, random, logger } = options;
   const late: LateComponents = {};
   const self = createMemberAnnouncement(options);
@@ -316,6 +319,7 @@
   ];
   return {
     ...{
+      store,
       transport,
       membership,
       orders,
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -95,7 +95,7 @@
   }
 
   metricSources(): readonly MetricSource[] {
-    const { calls, gate, membership, orders, moves } = this.#components;
+    const { calls, gate, membership, orders, moves, store, transport } = this.#components;
     const { counters } = calls;
     const source = (name: string, help: string, read: () => number): MetricSource => ({
       name: `sequoiafield_${name}`,
@@ -125,6 +125,35 @@
         'Log lines left out because their reader was too slow or gone',
         () => this.logger.linesDropped ?? 0,
       ),
+      source('store_reads_total', 'Reads of the store', () => store.counters.reads),
+      source(
+        'store_stale_reads_total',
+        'Reads of the store whose answer may be some seconds old',
+        () => store.counters.staleReads,
+      ),
+      source('store_watches_total', 'Watch calls to the store', () => store.counters.watches),
+      source('store_writes_total', 'Writes to the store', () => store.counters.writes),
+      source('store_failures_total', 'Failed calls to the store', () => store.counters.failures),
+      source(
+        'gossip_sent_bytes_total',
+        'Bytes of gossip to all members',
+        () => membership.counters.sentBytes,
+      ),
+      source(
+        'gossip_sent_far_bytes_total',
+        'Bytes of gossip to members of other data centres',
+        () => membership.counters.sentFarBytes,
+      ),
+      source(
+        'gossip_dropped_items_total',
+        'Malformed rows, states and registers of peers',
+        () => membership.counters.droppedItems,
+      ),
+      source(
+        'link_messages_sent_total',
+        'Messages to other nodes over links',
+        () => transport.counters.messagesSent,
+      ),
       source('fleet_members', 'Live members', () => membership.view.fleetSize()),
       source('fleet_servers', 'Members whose backend server takes new work', () => {
         const rows = [...membership.view.all()];
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -42,3 +42,4 @@
   type WriteCondition,
   type WriteResult,
 } from './range-store.js';
+export { CountedRangeStore, type StoreCallCounters } from './counted-range-store.js';
