--- a/packages/mesh-node/src/seed-registrar.ts
+++ b/packages/mesh-node/src/seed-registrar.ts
@@ -13,14 +13,14 @@
  */
 const seedsMax = 6;
 /** Mean interval between reads of the record by a node that knows no other node. */
-const aloneReadIntervalMs = 500;
+const aloneReadIntervalMs = 600;
 /** Mean read interval per known member, so that the whole fleet reads the record once in 10 s. */
 const readIntervalPerMemberMs = 10_000;
 /**
  * Longest time from the start after which a node that found no seeds writes itself. The times of a
  * fleet that starts at once lie late in it, so that few nodes write before the others see the first.
  */
-const firstWriteDelayMaxMs = 3000;
+const firstWriteDelayMaxMs = 4000;
 /** Time without an answer of the record's seeds after which a node writes itself. */
 const silentSeedsMs = 2000;
 /** Nodes of the fleet that look some seconds after they joined whether the record has room. */
@@ -105,20 +105,25 @@
   }
 
   #scheduleRead(): void {
+    if (!this.#isAlone() && this.#earlyReadAtMs === undefined) {
+      this.#nextReadAtMs = 0;
+      return;
+    }
     const fleetSize = this.options.membership.view.fleetSize();
     const meanMs = this.#isAlone() ? aloneReadIntervalMs : readIntervalPerMemberMs * fleetSize;
     this.#nextReadAtMs = monotonicNowMs() + meanMs * (0.5 + this.options.random.next());
   }
 
   async #refreshRecord(nowMs: number): Promise<void> {
-    if (this.#isAlone() && nowMs >= (this.#writesSelfAtMs ?? 0)) {
+    const wasAlone = this.#isAlone();
+    if (wasAlone && nowMs >= (this.#writesSelfAtMs ?? 0)) {
       this.#writesSelfAtMs = nowMs + silentSeedsMs;
       await this.#write();
       return;
     }
     const range = await this.options.store.readRange(seedsKey, { mayBeStale: true });
     this.#useRecord(decodeSeeds(range.items.find(({ key }) => key === seedsKey)), nowMs);
-    if (!this.#isAlone() && this.#hasRoom()) await this.#write();
+    if (!wasAlone && this.#hasRoom()) await this.#write();
   }
 
   #useRecord(record: SeedsRecord, nowMs: number): void {
