Give the nodes of the seeds test different random numbers

The seeds 1 to 194 of its generators give nearly the same first number, so that all nodes wrote at one moment; a node takes its seed from a hash of its id. The part 'a node that was alone does not write after its read' is not shown by a test: the tests also pass without it, since the fixture's nodes meet only later. Change: the test hashes the ids as a node does; bounds unchanged.

--- a/packages/mesh-node/src/seed-registrar.test.ts
+++ b/packages/mesh-node/src/seed-registrar.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { SilentLogger } from '@sequoiafield/logger';
-import type { Membership } from '@sequoiafield/membership';
+import { hashText32, type Membership } from '@sequoiafield/membership';
 import type { RangeStore } from '@sequoiafield/store';
 import { SeededRandom, TickLoop } from '@sequoiafield/tables';
 import { pauseClock, type PausedClock } from '@sequoiafield/test-kit';
@@ -37,7 +37,7 @@
     } as unknown as Membership;
     const registrar = new SeedRegistrar({
       ...{ self, membership, store: this.store as unknown as RangeStore },
-      ...{ random: new SeededRandom(index + 1), logger: new SilentLogger() },
+      ...{ random: new SeededRandom(hashText32(self.id)), logger: new SilentLogger() },
     });
     new TickLoop([registrar], (_, error) => assert.fail(String(error))).start();
   }
