Tell callers of a node that starts when to come back, and test attempts that do not wait

Change: such a node refuses with a hint of 450 to 750 ms, the time in which it gets its configuration.

--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -29,6 +29,8 @@
 
 /** Idle time after which a caller's connection is closed; longer than common client limits. */
 const keepAliveTimeoutMs = 75_000;
+/** Retry hint of a node that does not serve yet; one that starts gets its configuration in this time. */
+const notServingRetryAfterMs = 600;
 /** Time by which this side closes an idle connection later than callers may reuse it. */
 const idleCloseMarginMs = 1000;
 
@@ -276,7 +278,9 @@
       return createNotRunRefusal(RefusalReason.Draining, 'the node is stopping');
     }
     if (!this.options.snapshots.isServing()) {
-      return createNotRunRefusal(RefusalReason.NotReady, 'the node holds no current configuration');
+      const detail = 'the node holds no current configuration';
+      const retryAfterMs = notServingRetryAfterMs * (0.75 + 0.5 * this.options.random.next());
+      return { ...createNotRunRefusal(RefusalReason.NotReady, detail), retryAfterMs };
     }
     if (match && Number(request.headers['content-length'] ?? 0) > this.#bodyMaxBytes()) {
       return createNotRunRefusal(
--- a/packages/calls/src/retrying-call.test.ts
+++ b/packages/calls/src/retrying-call.test.ts
@@ -35,6 +35,56 @@
   deadlineAtMs: Number.MAX_SAFE_INTEGER,
 };
 
+/** Runs one call with members that have no free slot; returns whether each attempt might wait. */
+const runBesideBusyMembers = async (
+  mayHaveFreeSlot: (member: MemberRow) => boolean,
+): Promise<readonly string[]> => {
+  const attempts: string[] = [];
+  const members = ['a', 'b', 'c'].map((id) => sampleMember(id));
+  const options: Partial<CallProxyOptions> = {
+    rollout: { chooseVersion: () => 'v1', isAllowed: () => true, statuses: () => [] },
+    router: {
+      match: () => undefined,
+      choose: () => members[attempts.length % members.length],
+      mayHaveFreeSlot: (_service, chosen) => mayHaveFreeSlot(chosen),
+      begin: () => undefined,
+      report: () => undefined,
+      recordFirstAttempt: () => undefined,
+      takeRetry: () => assert.fail('a refusal by a node takes no retry from the budget'),
+    },
+    sender: {
+      send: (to, open) => {
+        attempts.push(`${to.id} ${open.mayWait === false ? 'does not wait' : 'may wait'}`);
+        const reason = open.mayWait === false ? RefusalReason.ServerBusy : RefusalReason.Cancelled;
+        return Promise.resolve(toRefusalResult(createNotRunRefusal(reason, '')));
+      },
+    },
+    self: { ...member, id: 'near' },
+    sequence: new AttemptSequence(),
+    random: new SeededRandom(1),
+  };
+  const { signal } = new AbortController();
+  const policy = new ReachedServerRetryPolicy();
+  const counters = new CallCounters();
+  await new RetryingCall(call, options as CallProxyOptions, policy, counters, signal).run();
+  return attempts;
+};
+
+test('a call asks two members not to be queued before it waits at the third', async () => {
+  // Guards against a call that waits at a full server while another has a free slot, and against one
+  // that goes on looking for a free slot in an overloaded fleet.
+  assert.deepEqual(await runBesideBusyMembers(() => true), [
+    'a does not wait',
+    'b does not wait',
+    'c may wait',
+  ]);
+});
+
+test('a call waits at a member whose fresh report shows no free slot', async () => {
+  // Guards against round trips that are known to find no free slot.
+  assert.deepEqual(await runBesideBusyMembers(() => false), ['a may wait']);
+});
+
 /** Runs one call during a move; `memberByVersion` holds the members that accept calls. */
 const runWith = async (
   memberByVersion: Readonly<Record<string, MemberRow>>,
--- a/packages/calls/src/test-support/call-node-fixture.ts
+++ b/packages/calls/src/test-support/call-node-fixture.ts
@@ -21,6 +21,7 @@
   createCallProxy,
   UndiciBackendClient,
   type BackendClientOptions,
+  type CallProtocol,
   type RetryPolicy,
 } from '../index.js';
 
@@ -72,6 +73,7 @@
   readonly transport?: Partial<TransportOptions>;
   readonly backend?: Partial<BackendClientOptions>;
   readonly retryPolicy?: RetryPolicy;
+  readonly protocol?: CallProtocol;
   /** Returns the refusal of the admission, or undefined to admit the call. */
   readonly admit?: () => CallRefusal | undefined;
   readonly isAllowed?: () => boolean;
@@ -192,6 +194,7 @@
         takeRetry: () => true,
       },
       retryPolicy: options.retryPolicy,
+      protocol: options.protocol,
     });
     this.#loop = new TickLoop(
       [...this.transport.systems, ...this.calls.systems],
