Pause only servers that shed everything, and lower the price of another data centre

The breaker paused servers that shed a part of their calls; with typical times for members without a report, calls stayed at slow near servers. Change: eight shed calls in a row pause a server in place of two; another data centre costs 18 ms and 2 ms per 1,000 bytes in place of 36 and 3.5.

--- a/packages/gate/src/shed-breaker.ts
+++ b/packages/gate/src/shed-breaker.ts
@@ -1,7 +1,7 @@
 import { monotonicNowMs } from '@sequoiafield/tables';
 
 /** Shed calls in a row after which the server gets none for a while. */
-const shedsToPauseCount = 2;
+const shedsToPauseCount = 8;
 /** First pause, doubled with each shed call that follows one, up to the maximum. */
 const pauseFirstMs = 100;
 const pauseMaxMs = 1600;
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -27,13 +27,13 @@
  * the call's bytes. The round trip there takes 2 ms; with a penalty of 10 ms, half as many calls again
  * leave the data centre at low load, for no gain.
  */
-const otherDataCentrePenaltyMs = 36;
+const otherDataCentrePenaltyMs = 18;
 /**
  * Expected time by which a member of another data centre has to be faster for each 1,000 bytes of a
  * call, since bytes between data centres are paid for. 1,000 bytes cost about 1/30 of what a lookup
  * earns; a lookup that is late by 60 ms, a third of its target, earns half.
  */
-const otherDataCentrePenaltyPerKilobyteMs = 3.5;
+const otherDataCentrePenaltyPerKilobyteMs = 2;
 /** Time that a call over a link costs both nodes; calls to the own backend server use no link. */
 const linkPenaltyMs = 4;
 /** Time that a failed call costs, about that of a second attempt; weighted by the failure ratio. */
