Leave more of the retry budget to calls of repeated runs, and keep seeds that need the repair

Change: nodes spend 0.4 of the limit in place of 0.5; the seeds 66 and 87, which do leave out a node, are added to the 16.

--- a/packages/distribution/src/fault-table/head-under-drains.test.ts
+++ b/packages/distribution/src/fault-table/head-under-drains.test.ts
@@ -6,8 +6,12 @@
 import type { MechanismOverrides } from '../test-fleet/distribution-fixture.js';
 
 const fleetSize = 30;
-const firstSeed = Number(process.env.HEAD_SEED ?? 1);
-const seedCount = process.env.HEAD_SEED ? 1 : 16;
+const repeatedSeed = process.env.HEAD_SEED;
+/** Seeds with which five pushes without a repair leave out a node. */
+const provokingSeeds = [66, 87];
+const seeds = repeatedSeed
+  ? [Number(repeatedSeed)]
+  : [...Array.from({ length: 16 }, (_, index) => index + 1), ...provokingSeeds];
 /** Time within which a head must reach every running node. */
 const reachMaxMs = 1000;
 
@@ -52,7 +56,7 @@
   mechanisms?: MechanismOverrides,
 ): Promise<string[]> => {
   const lateNodes: string[] = [];
-  for (let seed = firstSeed; seed < firstSeed + seedCount; seed++) {
+  for (const seed of seeds) {
     lateNodes.push(...(await findLateNodes(seed, half, mechanisms)));
   }
   return lateNodes;
@@ -67,14 +71,18 @@
   });
 }
 
-test('without repair some nodes miss a head within 1 s', { skip: seedCount === 1 }, async () => {
-  // Guards against seeds that do not provoke the fault, with which the tests above prove nothing.
-  const push = new PushAndRepairPolicy();
-  const spreadPolicy = {
-    pushFanOut: push.pushFanOut,
-    isRepairEnabled: false,
-    replaces: push.replaces.bind(push),
-    sendLimit: push.sendLimit.bind(push),
-  };
-  assert.notDeepEqual(await findLateNodesOverSeeds(HalfFleetAction.Drains, { spreadPolicy }), []);
-});
+test(
+  'without repair some nodes miss a head within 1 s',
+  { skip: repeatedSeed !== undefined },
+  async () => {
+    // Guards against seeds that do not provoke the fault, with which the tests above prove nothing.
+    const push = new PushAndRepairPolicy();
+    const spreadPolicy = {
+      pushFanOut: push.pushFanOut,
+      isRepairEnabled: false,
+      replaces: push.replaces.bind(push),
+      sendLimit: push.sendLimit.bind(push),
+    };
+    assert.notDeepEqual(await findLateNodesOverSeeds(HalfFleetAction.Drains, { spreadPolicy }), []);
+  },
+);
--- a/packages/routing/src/mesh/fleet-retry-budget.ts
+++ b/packages/routing/src/mesh/fleet-retry-budget.ts
@@ -13,7 +13,7 @@
  * Share of the limit that the nodes' own retries may use. A retried run sends its own calls again, and
  * those count as retries at the called service as well.
  */
-const nodeRetryShare = 0.5;
+const nodeRetryShare = 0.4;
 const bucketsPerWindow = 20;
 /**
  * Time after its start in which a node uses no slack. It knows few members then, and would take most of
