Let a server that joins get calls: near members without any report count as idle and fast

Change: a member of the own data centre that has never reported counts as idle and as fast as a typical one can be; members elsewhere stay typical, since each node would otherwise try the whole fleet.

--- a/packages/routing/src/mesh/member-load-tracker.ts
+++ b/packages/routing/src/mesh/member-load-tracker.ts
@@ -111,7 +111,10 @@
   readonly #baselines = new Table<ServiceBaseline>('service-baselines');
 
   /** `targetLatencyMsOf` returns the longest latency target of a service's routes. */
-  constructor(private readonly targetLatencyMsOf: (service: string) => number) {}
+  constructor(
+    private readonly ownDataCentre: string,
+    private readonly targetLatencyMsOf: (service: string) => number,
+  ) {}
 
   begin(memberId: string): void {
     this.#ensureRow(memberId).ownCalls += 1;
@@ -186,6 +189,8 @@
       row = createRow(incarnation);
       this.#rows.set(memberId, row);
     }
+    const isNew = row.reportedAtMs === Number.NEGATIVE_INFINITY;
+    if (isNew && dataCentre === this.ownDataCentre) return this.#estimateNewNear(row, baseline);
     const nowMs = monotonicNowMs();
     const ageMs = nowMs - row.reportedAtMs;
     const fullWeightMs = Math.max(
@@ -213,6 +218,16 @@
     };
   }
 
+  /**
+   * Estimate of a member of the own data centre that has never reported: idle and fast, so that a server
+   * that joins gets calls. Only near members, since each node would otherwise try the whole fleet.
+   */
+  #estimateNewNear(row: MemberLoadRow, baseline: ServiceBaseline): MemberLoadEstimate {
+    const { ownCalls: calls } = row;
+    const { shortestServiceMs: meanServiceMs, slots } = baseline;
+    return { meanServiceMs, calls, slots, failureRatio: 0, isReportFresh: false };
+  }
+
   /**
    * The time of a slow member decays to the typical one; the time of a fast one stays. The part of a
    * deviation that the mean of few calls shows by chance does not count.
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -139,6 +139,19 @@
   assert.equal(router.choose('s', 'v1', new Set(), 'add')?.id, 'a');
 });
 
+test('a server that joins gets calls although the known ones are fast and idle', () => {
+  // Guards against a server that was started for its capacity and stays unused.
+  const rows = [sampleMember('a'), sampleMember('b'), sampleMember('new')];
+  const [router] = createRouter(rows);
+  const load = { runningCalls: 1, queuedCalls: 0, slotsNow: 9, meanServiceMs: 50 };
+  for (const memberId of ['a', 'b']) {
+    router.choose('s', 'v1', new Set());
+    router.begin(memberId);
+    router.report({ memberId, service: 's', hasFailed: false, latencyMs: 50, load });
+  }
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'new');
+});
+
 test('a member that cannot be reached or takes no work is paused for a short time', async () => {
   // Guards against calls that time out on an unreachable machine one after the other.
   const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -80,7 +80,7 @@
 
   readonly #splitters = new DestinationSplitters();
 
-  readonly #loadTracker = new MemberLoadTracker((service) => this.#targetLatencyMsOf(service));
+  readonly #loadTracker: MemberLoadTracker;
 
   readonly #routeBytes = new RouteBytesEstimator();
 
@@ -96,7 +96,10 @@
   #prunedAtMs = 0;
 
   constructor(private readonly options: MeshRouterOptions) {
-    const { retryLimit, members } = options;
+    const { retryLimit, members, dataCentre } = options;
+    this.#loadTracker = new MemberLoadTracker(dataCentre, (service) =>
+      this.#targetLatencyMsOf(service),
+    );
     this.#retryBudget = new FleetRetryBudget(retryLimit, () => members.fleetSize());
   }
 
