--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -256,7 +256,7 @@
     }
   }
 
-  /** Applies an item; a malformed one costs itself only. */
+  /** Applies an item; a malformed one affects nothing else. */
   #applyItem(bytes: Uint8Array, fromId: string): void {
     try {
       this.#apply(bytes, fromId);
--- a/packages/membership/src/malformed-item-log.ts
+++ b/packages/membership/src/malformed-item-log.ts
@@ -5,7 +5,7 @@
 /** Minimum interval between log lines; the items between them are only counted. */
 const logIntervalMs = 5000;
 
-/** Counts malformed items of peers and logs some of them; such an item costs itself only. */
+/** Counts malformed items of peers and logs some of them; such an item affects nothing else. */
 export class MalformedItemLog {
   #nextLogAtMs = Number.NEGATIVE_INFINITY;
 
--- a/packages/membership/src/odd-rows.test.ts
+++ b/packages/membership/src/odd-rows.test.ts
@@ -29,7 +29,7 @@
   return packr.pack([GossipItemKind.Row, tuple]);
 };
 
-test('a row with an odd port costs itself only; the other rows of its datagram count', async () => {
+test('a row with an odd port affects nothing else; the other rows of its datagram count', async () => {
   // Guards against one odd entry, after which a node probes or dials an address that throws, or drops
   // what arrives with it.
   await fleet.start(3);
--- a/packages/membership/src/row-sync.ts
+++ b/packages/membership/src/row-sync.ts
@@ -104,7 +104,7 @@
     return { merged: merged.length, coveredBuckets: Math.max(1, answer.coveredBuckets ?? 1) };
   }
 
-  /** Reads a row; a malformed one costs itself only. */
+  /** Reads a row; a malformed one affects nothing else. */
   #readRow(tuple: unknown, fromId: string): readonly GossipRow[] {
     try {
       return [tupleToRow(tuple)];
