Give a server that joins one call of each near node, however fast the others are

Its row was known everywhere within a second (debug log of the nodes of attiki-c); the members beside it have mean times below the shortest typical one, since most of their calls are short checks, so that it was never chosen. Change: a near member that has never reported and runs no call of this node takes no time in the comparison.

--- a/packages/routing/src/mesh/member-load-tracker.ts
+++ b/packages/routing/src/mesh/member-load-tracker.ts
@@ -101,6 +101,19 @@
   readonly isReportFresh: boolean;
 }
 
+/**
+ * Estimate of a member of the own data centre that has never reported and runs no call of this node: it
+ * takes no time, so that a server that joins gets a call from each near node. Only near members, since
+ * each node would otherwise try the whole fleet.
+ */
+const newNearEstimate = (slots: number): MemberLoadEstimate => ({
+  meanServiceMs: 0,
+  calls: 0,
+  slots,
+  failureRatio: 0,
+  isReportFresh: false,
+});
+
 /**
  * Tracks the load of members by their reports and by this node's own calls since the last report.
  * Members that refused a call or could not be reached are paused.
@@ -190,7 +203,8 @@
       this.#rows.set(memberId, row);
     }
     const isNew = row.reportedAtMs === Number.NEGATIVE_INFINITY;
-    if (isNew && dataCentre === this.ownDataCentre) return this.#estimateNewNear(row, baseline);
+    const isNewNear = isNew && dataCentre === this.ownDataCentre;
+    if (isNewNear && row.ownCalls === 0) return newNearEstimate(baseline.slots);
     const nowMs = monotonicNowMs();
     const ageMs = nowMs - row.reportedAtMs;
     const fullWeightMs = Math.max(
@@ -218,16 +232,6 @@
     };
   }
 
-  /**
-   * Estimate of a member of the own data centre that has never reported: idle and fast, so that a server
-   * that joins gets calls. Only near members, since each node would otherwise try the whole fleet.
-   */
-  #estimateNewNear(row: MemberLoadRow, baseline: ServiceBaseline): MemberLoadEstimate {
-    const { ownCalls: calls } = row;
-    const { shortestServiceMs: meanServiceMs, slots } = baseline;
-    return { meanServiceMs, calls, slots, failureRatio: 0, isReportFresh: false };
-  }
-
   /**
    * The time of a slow member decays to the typical one; the time of a fast one stays. The part of a
    * deviation that the mean of few calls shows by chance does not count.
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -143,13 +143,15 @@
   // Guards against a server that was started for its capacity and stays unused.
   const rows = [sampleMember('a'), sampleMember('b'), sampleMember('new')];
   const [router] = createRouter(rows);
-  const load = { runningCalls: 1, queuedCalls: 0, slotsNow: 9, meanServiceMs: 50 };
+  const load = { runningCalls: 1, queuedCalls: 0, slotsNow: 9, meanServiceMs: 10 };
   for (const memberId of ['a', 'b']) {
     router.choose('s', 'v1', new Set());
     router.begin(memberId);
     router.report({ memberId, service: 's', hasFailed: false, latencyMs: 50, load });
   }
   assert.equal(router.choose('s', 'v1', new Set())?.id, 'new');
+  router.begin('new');
+  assert.notEqual(router.choose('s', 'v1', new Set())?.id, 'new', 'one call shows how fast it is');
 });
 
 test('a member that cannot be reached or takes no work is paused for a short time', async () => {
