--- a/packages/calls/src/retrying-call.test.ts
+++ b/packages/calls/src/retrying-call.test.ts
@@ -72,7 +72,7 @@
 
 test('a call asks two members not to be queued before it waits at the third', async () => {
   // Guards against a call that waits at a full server while another has a free slot, and against one
-  // that goes on looking for a free slot in an overloaded fleet.
+  // that continues to look for a free slot in an overloaded fleet.
   assert.deepEqual(await runBesideBusyMembers(() => true), [
     'a does not wait',
     'b does not wait',
--- a/packages/calls/src/starved-node.test.ts
+++ b/packages/calls/src/starved-node.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { blockLoop } from './test-support/block-loop.js';
 import { listen, CallNodeFixture } from './test-support/call-node-fixture.js';
 
 /** Client that connects, prints "connected", sends a request after 100 ms, disconnects or waits. */
@@ -20,11 +21,6 @@
   setTimeout(() => { process.stdout.write(' ' + text.slice(0, 15)); process.exit(0); }, 2000);
 `;
 
-const blockLoop = (ms: number): void => {
-  const untilMs = performance.now() + ms;
-  while (performance.now() < untilMs);
-};
-
 /**
  * Blocks the event loop of a node while a client sends its request; returns how often the request
  * ran and what the client received.
--- a/packages/calls/src/stop-listening.test.ts
+++ b/packages/calls/src/stop-listening.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { blockLoop } from './test-support/block-loop.js';
 import { listen, CallNodeFixture } from './test-support/call-node-fixture.js';
 
 const connectionsCount = 5;
@@ -27,11 +28,6 @@
   setTimeout(() => process.exit(0), 2500);
 `;
 
-const blockLoop = (ms: number): void => {
-  const untilMs = performance.now() + ms;
-  while (performance.now() < untilMs);
-};
-
 test('connections that wait to be accepted when a node stops listening are served', async () => {
   // Guards against a close of the listener that resets connections which the system has accepted.
   const [, origin] = await listen((_request, response) => response.end('done'));
--- a/packages/routing/src/mesh/service-baseline.ts
+++ b/packages/routing/src/mesh/service-baseline.ts
@@ -41,13 +41,11 @@
 
   /** Typical service time in ms. */
   get serviceMs(): number {
-    const longestMs = typicalTargetShareMax * this.targetLatencyMs();
-    return Math.min(Math.max(this.#serviceMs, this.shortestServiceMs), longestMs);
-  }
-
-  /** Shortest service time in ms that counts as typical. */
-  get shortestServiceMs(): number {
-    return typicalTargetShareMin * this.targetLatencyMs();
+    const targetMs = this.targetLatencyMs();
+    return Math.min(
+      Math.max(this.#serviceMs, typicalTargetShareMin * targetMs),
+      typicalTargetShareMax * targetMs,
+    );
   }
 
   /** Calls per slot that are assumed for a member of a data centre without a recent report. */
