--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,4 +12,5 @@
 export { FaultDirection, PathFaultMode, type PathFault } from './fault-proxy/path-fault.js';
 export * from './harness/local-instance.js';
 export * from './harness/local-mesh.js';
+export { allocateFreePort } from './harness/free-ports.js';
 export { ManagedProcess } from './harness/managed-process.js';
