Choose a member from kept lists instead of filtering the whole service

Cause: each attempt filtered all members of a service three times.

Change: PermittedMembers keeps the members that may get a call, by distance, until members or orders change; drawMembers draws from them at random and checks pauses and full queues only of those that it draws. MemberView has a revision.

--- a/packages/bench/src/evacuation/evacuation-run.ts
+++ b/packages/bench/src/evacuation/evacuation-run.ts
@@ -89,6 +89,7 @@
   );
   return {
     selfId: '',
+    revision: () => 0,
     fleetSize: () => rows.length,
     get: (id) => byId.get(id),
     all: () => rows,
--- a/packages/distribution/src/cold-start.test.ts
+++ b/packages/distribution/src/cold-start.test.ts
@@ -47,6 +47,7 @@
   const row = { ...self, address: `10.0.0.${index}`, gossipPort: 1, incarnation: Date.now() };
   return {
     selfId: self.id,
+    revision: () => 0,
     fleetSize: () => 1,
     get: () => row as MemberRow,
     all: () => [row as MemberRow],
--- a/packages/membership/src/members-table.ts
+++ b/packages/membership/src/members-table.ts
@@ -50,6 +50,10 @@
     return this.self.id;
   }
 
+  revision(): number {
+    return this.rows.revision;
+  }
+
   fleetSize(): number {
     return this.#live.length;
   }
--- a/packages/moves/src/test-support/moves-fixture.ts
+++ b/packages/moves/src/test-support/moves-fixture.ts
@@ -120,6 +120,7 @@
 
   #addNode({ id, backendVersion }: MemberRow): void {
     const members: MemberView = {
+      revision: () => 0,
       selfId: id,
       fleetSize: () => this.#rows.length,
       get: (other) => this.#rows.find((row) => row.id === other),
--- a/packages/orders/src/test-support/orders-fixture.ts
+++ b/packages/orders/src/test-support/orders-fixture.ts
@@ -56,6 +56,7 @@
 
   #addNode(id: string, store: FakeRangeStore): void {
     const members: MemberView = {
+      revision: () => 0,
       selfId: id,
       fleetSize: () => this.#rows.length,
       get: (other) => this.#rows.find((row) => row.id === other),
--- a/packages/rollout/src/fakes/fake-node.ts
+++ b/packages/rollout/src/fakes/fake-node.ts
@@ -154,6 +154,7 @@
     const rows = (): MemberRow[] => this.mesh.membersSeenBy(this);
     return {
       selfId: this.id,
+      revision: () => 0,
       fleetSize: () => rows().length,
       get: (id) => rows().find((row) => row.id === id),
       all: () => rows(),
--- a/packages/routing/src/mesh/member-load-tracker.ts
+++ b/packages/routing/src/mesh/member-load-tracker.ts
@@ -175,9 +175,13 @@
     return fullRoute !== undefined && monotonicNowMs() < fullRoute.pausedUntilMs;
   }
 
-  isPaused(memberId: string, incarnation: number): boolean {
+  /** Whether the member is neither paused nor full for the route. */
+  isAvailable(memberId: string, incarnation: number, route: string): boolean {
     const row = this.#rowOfIncarnation(memberId, incarnation);
-    return row !== undefined && monotonicNowMs() < row.pausedUntilMs;
+    if (!row) return true;
+    const nowMs = monotonicNowMs();
+    const fullUntilMs = row.fullRoutes.get(route)?.pausedUntilMs ?? 0;
+    return nowMs >= row.pausedUntilMs && nowMs >= fullUntilMs;
   }
 
   /** Time until a member that refused a call of the route expects to accept one. */
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -81,7 +81,13 @@
 
 const createRouter = (rows: readonly MemberRow[]): [MeshRouter, SampleOrders] => {
   const orders = new SampleOrders();
+  let revision = 0;
   const members: MemberView = {
+    // Tests change rows in place, so each look counts as a change.
+    revision: () => {
+      revision += 1;
+      return revision;
+    },
     selfId: 'self',
     fleetSize: () => rows.length,
     get: (id) => rows.find((row) => row.id === id),
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -1,7 +1,6 @@
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import {
   MemberState,
-  takesNewWork,
   type AttemptReport,
   type HostRoute,
   type MemberRow,
@@ -15,6 +14,7 @@
 import { FleetRetryBudget, type RetryLimit } from './fleet-retry-budget.js';
 import { HostRouteTable } from './host-route-table.js';
 import { MemberLoadTracker, type MemberLoadEstimate } from './member-load-tracker.js';
+import { drawMembers, PermittedMembers } from './permitted-members.js';
 import { RouteBytesEstimator } from './route-bytes-estimator.js';
 
 /**
@@ -82,6 +82,8 @@
 
   readonly #loadTracker: MemberLoadTracker;
 
+  readonly #permittedMembers: PermittedMembers;
+
   readonly #routeBytes = new RouteBytesEstimator();
 
   readonly #retryBudget: FleetRetryBudget;
@@ -96,7 +98,8 @@
   #prunedAtMs = 0;
 
   constructor(private readonly options: MeshRouterOptions) {
-    const { retryLimit, members, dataCentre } = options;
+    const { retryLimit, members, orders, dataCentre } = options;
+    this.#permittedMembers = new PermittedMembers(dataCentre, members, orders);
     this.#loadTracker = new MemberLoadTracker(dataCentre, (service) =>
       this.#targetLatencyMsOf(service),
     );
@@ -139,34 +142,24 @@
     triedIds: ReadonlySet<string>,
     route = '',
   ): MemberRow | undefined {
-    const permitted = this.#candidates(service, backendVersion, triedIds);
-    const candidates = permitted.filter(
-      ({ id, incarnation }) => !this.#loadTracker.isFull(id, incarnation, route),
-    );
-    const usable = candidates.filter(
-      ({ id, incarnation }) => !this.#loadTracker.isPaused(id, incarnation),
-    );
-    if (usable.length > 0) {
-      const { near, far } = this.#splitByDistance(usable);
+    const { near, far } = this.#permittedMembers.of(service, backendVersion);
+    const isUsable = ({ id, incarnation }: MemberRow): boolean =>
+      !triedIds.has(id) && this.#loadTracker.isAvailable(id, incarnation, route);
+    const { random } = this.options;
+    const comparedNear = drawMembers(near, comparedNearMax, isUsable, random);
+    const compared = [...comparedNear, ...drawMembers(far, comparedFarMax, isUsable, random)];
+    if (compared.length > 0) {
       this.#loadTracker.baselineOf(service).recordCall(monotonicNowMs());
-      const usedMembersCount = near.length > 0 ? near.length : usable.length;
-      const compared = [
-        ...this.#pickRandom(near, comparedNearMax),
-        ...this.#pickRandom(far, comparedFarMax),
-      ];
+      const usedMembersCount = comparedNear.length > 0 ? near.length : far.length;
       return this.#best(compared, service, usedMembersCount, this.#farPenaltyMs(route, service));
     }
-    // Fails open: the member whose pause ends first is the most likely to serve again.
-    return candidates.reduce<MemberRow | undefined>((first, row) => {
-      if (!first) return row;
-      const isEarlier =
-        this.#loadTracker.pausedUntilMs(row.id) < this.#loadTracker.pausedUntilMs(first.id);
-      return isEarlier ? row : first;
-    }, undefined);
+    const untried = [...near, ...far].filter(({ id }) => !triedIds.has(id));
+    return this.#firstToServeAgain(untried, route);
   }
 
   retryAfterMs(service: string, backendVersion: string, route: string): number | undefined {
-    const permitted = this.#candidates(service, backendVersion, new Set());
+    const { near, far } = this.#permittedMembers.of(service, backendVersion);
+    const permitted = [...near, ...far];
     const isFull = ({ id, incarnation }: MemberRow): boolean =>
       this.#loadTracker.isFull(id, incarnation, route);
     if (permitted.length === 0 || !permitted.every(isFull)) return undefined;
@@ -192,16 +185,19 @@
     return this.#retryBudget.takeRetry(service);
   }
 
-  #candidates(
-    service: string,
-    backendVersion: string,
-    triedIds: ReadonlySet<string>,
-  ): readonly MemberRow[] {
-    const { evacuatedDataCentres } = this.options.orders.current();
-    return this.options.members.ofService(service).filter((row) => {
-      const isPermitted = !evacuatedDataCentres.has(row.dataCentre) && !triedIds.has(row.id);
-      return takesNewWork(row.state) && isPermitted && row.backendVersion === backendVersion;
-    });
+  /** Fails open: returns the member whose pause ends first, which most probably serves again. */
+  #firstToServeAgain(members: readonly MemberRow[], route: string): MemberRow | undefined {
+    let first: MemberRow | undefined;
+    let firstUntilMs = Number.POSITIVE_INFINITY;
+    for (const row of members) {
+      if (this.#loadTracker.isFull(row.id, row.incarnation, route)) continue;
+      const untilMs = this.#loadTracker.pausedUntilMs(row.id);
+      if (untilMs < firstUntilMs) {
+        first = row;
+        firstUntilMs = untilMs;
+      }
+    }
+    return first;
   }
 
   /** Whether the member may have a free slot; false only if its last report, still fresh, shows none. */
@@ -210,30 +206,6 @@
     return calls < slots || !isReportFresh;
   }
 
-  /** Splits members into those of the own data centre and the others. */
-  #splitByDistance(members: readonly MemberRow[]): {
-    readonly near: readonly MemberRow[];
-    readonly far: readonly MemberRow[];
-  } {
-    const near: MemberRow[] = [];
-    const far: MemberRow[] = [];
-    for (const row of members) {
-      (row.dataCentre === this.options.dataCentre ? near : far).push(row);
-    }
-    return { near, far };
-  }
-
-  #pickRandom(rows: readonly MemberRow[], count: number): readonly MemberRow[] {
-    if (rows.length <= count) return rows;
-    const start = this.options.random.nextInt(rows.length);
-    const step = 1 + this.options.random.nextInt(rows.length - 1);
-    const picked = new Set<MemberRow>();
-    for (let index = 0; picked.size < count && index < rows.length; index++) {
-      picked.add(rows[(start + index * step) % rows.length]!);
-    }
-    return [...picked];
-  }
-
   /** Factor of the penalties for a service with a longer target than the reference. */
   #penaltyFactor(service: string): number {
     return Math.max(1, this.#targetLatencyMsOf(service) / referenceTargetMs);
--- a/packages/routing/src/test-support/fake-fleet.ts
+++ b/packages/routing/src/test-support/fake-fleet.ts
@@ -101,6 +101,7 @@
       snapshot: { current: () => this.snapshot, isServing: () => true, requestSection: () => {} },
       members: {
         selfId: 'caller',
+        revision: () => 0,
         fleetSize: () => this.rows.length,
         get: (id) => this.rows.find((row) => row.id === id),
         all: () => this.rows,
--- a/packages/routing/src/test-support/large-fleet.ts
+++ b/packages/routing/src/test-support/large-fleet.ts
@@ -103,6 +103,7 @@
 
   #createRouter(self: MemberRow, rows: readonly MemberRow[], seed: number): MeshRouter {
     const members: MemberView = {
+      revision: () => 0,
       selfId: self.id,
       fleetSize: () => rows.length,
       get: (id) => rows.find((row) => row.id === id),
--- a/packages/types/src/members.ts
+++ b/packages/types/src/members.ts
@@ -38,6 +38,8 @@
 /** Read access to the members table. */
 export interface MemberView {
   readonly selfId: string;
+  /** Returns a number that increases with each change of a member's state or backend server. */
+  revision(): number;
   /** Returns the number of live members, including this node. */
   fleetSize(): number;
   get(id: string): MemberRow | undefined;
