Leave the unused loggers, colours and traces of libraries out of the bundle

Among the modules are pino and its threads, colours, file and HTTP output of winston, the request maker of fastify's tests and an interface for traces, none of which the node uses. A profile also shows 17 ms a node in the pattern of IPv6 addresses, against which undici matches the host of a request for the name in TLS (205 ms in 12 nodes).

Change: the build leaves these modules out; requests to the own backend server name a server for TLS, so that undici does not look for one. winston's stream output stays: it is used, and a build without it did not start.

The tests of platform/ pass, among them a call and a metric of the node as deployed.

--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -57,6 +57,12 @@
 }
 
 /** Creates the headers of the request to the backend server, names and values in turn. */
+/**
+ * Name for TLS, which is not used here. Without it, `undici` matches the host of each request against
+ * the pattern of an IPv6 address, which has to be compiled after each start.
+ */
+const unusedServerName = 'backend-server';
+
 const createRequestHeaders = (
   protocol: CallProtocol,
   open: CallOpen,
@@ -138,7 +144,8 @@
       onEnd(outcome);
     });
     const wholeBody = body instanceof BodyChannel ? body.takeWhole() : undefined;
-    const request: Dispatcher.DispatchOptions = {
+    const request: Dispatcher.DispatchOptions & { readonly servername: string } = {
+      servername: unusedServerName,
       method: open.method,
       path: open.path,
       headers: createRequestHeaders(
--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -16,6 +16,11 @@
   /\/undici\/lib\/(web|mock|cache|interceptor)\//,
   /\/undici\/lib\/dispatcher\/(proxy-agent|socks5|env-http|h2c|retry-agent|client-h2)/,
   /\/undici\/lib\/llhttp\/llhttp_simd-wasm/,
+  // Loggers of fastify, and colours, files and HTTP of winston: logs are JSON lines on standard output.
+  /^(pino|@so-ric\/colorspace)$/,
+  /\/winston\/lib\/winston\/(transports\/(file|http)|tail-file)/,
+  // Requests that fastify makes up for tests, addresses of proxies in front, and traces.
+  /^(light-my-request|@fastify\/proxy-addr|@opentelemetry\/api)$/,
   // Encrypted connections, HTTP/2 and process clusters: nodes use plain HTTP/1.1 only.
   /^(node:)?(tls|https|http2|cluster|worker_threads)$/,
 ];
