Write the endless lines of a test in larger pieces

The server of the test wrote lines of 8 bytes one by one, about 500,000 writes, on the event loop that it shares with the client, so that the deadline's timer came late. Without it the case took 767 ms at a load of 27, and informational heads 957 ms: closed by the deadline, not by the bound on bytes.

Change: both cases write 512 lines at a time. Checks and bounds are the same; more bytes arrive in the same time.

--- a/packages/calls/src/endless-answers.test.ts
+++ b/packages/calls/src/endless-answers.test.ts
@@ -27,6 +27,9 @@
   readonly tookMs: number;
 }
 
+/** Lines of one write; single ones would keep the event loop, which the client shares, busy with writes. */
+const linesPerWrite = 512;
+
 /** Writes `repeated` until the peer closes the connection, as fast as it reads. */
 const writeWithoutEnd = (socket: Socket, start: string, repeated: string): void => {
   socket.write(start);
@@ -99,7 +102,8 @@
 const endlessHeads: Record<string, (socket: Socket) => void> = {
   'header fields': (socket) => writeWithoutEnd(socket, okHead, `x-more: ${'h'.repeat(1000)}\r\n`),
   'one header field': (socket) => writeWithoutEnd(socket, `${okHead}x-more: `, 'h'.repeat(4096)),
-  'informational heads': (socket) => writeWithoutEnd(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'),
+  'informational heads': (socket) =>
+    writeWithoutEnd(socket, '', 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(linesPerWrite)),
   'bytes that are no answer': (socket) => writeWithoutEnd(socket, '', 'z'.repeat(4096)),
   'empty lines': (socket) => writeWithoutEnd(socket, '', '\r\n'.repeat(2048)),
   'one byte at a time': (socket) => {
@@ -116,7 +120,11 @@
   'the extension of a chunk': (socket) =>
     writeWithoutEnd(socket, `${okHead}transfer-encoding: chunked\r\n\r\n1;e=`, 'e'.repeat(4096)),
   trailers: (socket) =>
-    writeWithoutEnd(socket, `${okHead}transfer-encoding: chunked\r\n\r\n0\r\n`, 'x-t: 1\r\n'),
+    writeWithoutEnd(
+      socket,
+      `${okHead}transfer-encoding: chunked\r\n\r\n0\r\n`,
+      'x-t: 1\r\n'.repeat(linesPerWrite),
+    ),
 };
 
 const checkBounds = (name: string, { end, receivedBytes, tookMs }: EndlessResult): void => {
