Find a link that loses packets one way, and pause members that answer nothing

Up to 975 of 1,953 requests of two seconds failed, most at their deadline of 500 ms. Since heartbeats are sent only while a call runs, the silence of a link started again from 0 when its last call ended, and such calls end before the stall timeout of 1,500 ms: the link stood for good. The router held nothing against a member that gives no answer; without running calls and reports it even looked idle.

Change: silence counts from a call's start to the next message, also after the call ended. Two calls in a row that a member leaves without an answer for the service's latency target pause it for 250 ms, doubled up to 2 s; any answer or refusal of the member starts again from 0.

Result: two tests fail on the code before and pass now; all tests of transport and routing pass.

--- a/packages/routing/src/mesh/member-load-tracker.ts
+++ b/packages/routing/src/mesh/member-load-tracker.ts
@@ -40,6 +40,12 @@
 /** First pause of a member that could not be reached, doubled up to the maximum. */
 const unreachablePauseFirstMs = 250;
 const unreachablePauseMaxMs = 2000;
+/**
+ * Calls in a row that a member left without any answer for the latency target of its service, after
+ * which it is paused like one that cannot be reached. Packets to it may be lost while its link stands.
+ * One call may also end without an answer because its server is slow.
+ */
+const unansweredToPauseCount = 2;
 /** Pause of a member whose server takes no new work, such as one that drains. */
 const notServingPauseMs = 300;
 /** Pause of a member that is cold. */
@@ -51,6 +57,12 @@
   RefusalReason.WrongIncarnation,
 ]);
 
+/** Ends of attempts to which a member gave no answer, if the report has no load of the member. */
+const unansweredReasons: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.Cancelled,
+  RefusalReason.DeadlinePassed,
+]);
+
 const notServingReasons: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.DataCentreEvacuated,
   RefusalReason.Draining,
@@ -69,6 +81,7 @@
   ownCallsAtReport: number;
   pausedUntilMs: number;
   consecutiveUnreachableCount: number;
+  consecutiveUnansweredCount: number;
   /** Refusals for a full queue, by route: calls of a route with a longer target may wait longer. */
   readonly fullRoutes: Map<string, FullRoute>;
 }
@@ -87,6 +100,7 @@
   ownCallsAtReport: 0,
   pausedUntilMs: 0,
   consecutiveUnreachableCount: 0,
+  consecutiveUnansweredCount: 0,
   fullRoutes: new Map(),
 });
 
@@ -148,6 +162,7 @@
     const nowMs = monotonicNowMs();
     row.ownCalls = Math.max(0, row.ownCalls - 1);
     if (report.load) {
+      row.consecutiveUnansweredCount = 0;
       row.load = report.load;
       row.reportedAtMs = nowMs;
       row.ownCallsAtReport = row.ownCalls;
@@ -165,7 +180,10 @@
         acceptsAtMs,
       });
     } else {
-      row.pausedUntilMs = Math.max(row.pausedUntilMs, nowMs + this.#pauseMs(row, reason));
+      const pauseMs = this.#isUnanswered(report)
+        ? this.#unansweredPauseMs(row)
+        : this.#pauseMs(row, reason);
+      row.pausedUntilMs = Math.max(row.pausedUntilMs, nowMs + pauseMs);
     }
   }
 
@@ -282,6 +300,20 @@
     return 0;
   }
 
+  /** Whether the member left an attempt without an answer for the latency target of its service. */
+  #isUnanswered({ refusalReason, load, latencyMs, service }: AttemptReport): boolean {
+    if (refusalReason === undefined || load || !unansweredReasons.has(refusalReason)) return false;
+    return latencyMs >= this.targetLatencyMsOf(service);
+  }
+
+  #unansweredPauseMs(row: MemberLoadRow): number {
+    const changed = row;
+    changed.consecutiveUnansweredCount += 1;
+    const pausesBefore = changed.consecutiveUnansweredCount - unansweredToPauseCount;
+    if (pausesBefore < 0) return 0;
+    return Math.min(unreachablePauseMaxMs, unreachablePauseFirstMs * 2 ** pausesBefore);
+  }
+
   #ensureRow(memberId: string): MemberLoadRow {
     const known = this.#rows.get(memberId);
     if (known) return known;
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -172,6 +172,42 @@
   assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
 });
 
+test('a member that leaves calls without an answer gets none for a while', async () => {
+  // Guards against packets that are lost one way: the link stands, no call is answered, and a member
+  // without running calls and reports looks idle.
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
+  const unanswered = {
+    ...{ memberId: 'a', service: 's', hasFailed: true, latencyMs: 500 },
+    refusalReason: RefusalReason.DeadlinePassed,
+  };
+  router.choose('s', 'v1', new Set());
+  router.begin('a');
+  router.report(unanswered);
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'a', 'one call may have met a slow server');
+  router.begin('a');
+  router.report(unanswered);
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'b');
+  await clock.advance(300);
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
+});
+
+test('calls that end early or with an answer of the member do not pause it', () => {
+  // Guards against members that are avoided because callers give up, or because one call was slow.
+  const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
+  const load = { runningCalls: 1, queuedCalls: 0, slotsNow: 9, meanServiceMs: 40 };
+  const ended = { memberId: 'a', service: 's', hasFailed: false };
+  router.choose('s', 'v1', new Set());
+  for (let call = 0; call < 4; call++) {
+    router.begin('a');
+    router.report({ ...ended, latencyMs: 500, refusalReason: RefusalReason.DeadlinePassed });
+    router.begin('a');
+    router.report({ ...ended, latencyMs: 40, load });
+    router.begin('a');
+    router.report({ ...ended, latencyMs: 20, refusalReason: RefusalReason.Cancelled });
+  }
+  assert.equal(router.choose('s', 'v1', new Set())?.id, 'a');
+});
+
 test('a member that is full for a route is paused for this route only', async () => {
   // Guards against a call that every full server refuses in turn before its caller gets a refusal.
   const [router] = createRouter([sampleMember('a'), sampleMember('b', { dataCentre: 'far' })]);
--- a/packages/transport/src/connection.ts
+++ b/packages/transport/src/connection.ts
@@ -39,6 +39,9 @@
   /** Time without a received message, added up per tick to exclude pauses of this process. */
   silentMs = 0;
 
+  /** Whether a call was started after the last message; the call may have ended without an answer. */
+  isAnswerDue = false;
+
   /** Number of batches handed to the socket so far. */
   flushCount = 0;
 
@@ -124,6 +127,7 @@
 
   #onMessage(message: Buffer): void {
     this.silentMs = 0;
+    this.isAnswerDue = false;
     try {
       readFrames(message, (kind, id, payload) => this.#onFrame(kind, id, payload));
     } catch {
--- a/packages/transport/src/outbound-link.ts
+++ b/packages/transport/src/outbound-link.ts
@@ -150,13 +150,15 @@
   }
 
   /**
-   * Pings a link with running exchanges that has been silent, and suspects it if no message follows.
-   * A link without exchanges carries no heartbeats, whose number would grow with the peers of a node.
+   * Pings a link with running exchanges that has been silent, and suspects it if no message follows. An
+   * exchange that ended without an answer counts until the next message, because calls with deadlines
+   * shorter than the stall timeout would otherwise all end on a silent link. Other links carry no
+   * heartbeats, whose number would grow with the peers of a node.
    */
   #checkActiveSession(activeSession: OutboundSession, tick: Tick): void {
     const { limits } = this.context;
     const { connection } = activeSession;
-    if (activeSession.exchangeCount === 0) connection.silentMs = 0;
+    if (activeSession.exchangeCount === 0 && !connection.isAnswerDue) connection.silentMs = 0;
     // The time of a tick is capped, since messages may be unread in the socket after a pause.
     else connection.silentMs += Math.min(tick.elapsedMs, 2 * tickIntervalMs);
     const isPingDue = tick.nowMs - this.#lastPingAtMs >= limits.heartbeatMs;
--- a/packages/transport/src/outbound-session.ts
+++ b/packages/transport/src/outbound-session.ts
@@ -43,6 +43,7 @@
 
   start(exchange: Exchange): void {
     this.#entries.set(exchange.sequence, { exchange, batchNumber: this.connection.flushCount });
+    this.connection.isAnswerDue = true;
     exchange.start(this);
   }
 
--- a/packages/transport/src/silent-link.test.ts
+++ b/packages/transport/src/silent-link.test.ts
@@ -147,3 +147,33 @@
     ['not-run wrong-incarnation', []],
   );
 });
+
+test('a silent link is replaced although each call on it ends before the stall timeout', async (context) => {
+  // Guards against calls with short deadlines that all end on a silent link: between two of them it
+  // has no running call, and it was taken for an idle one.
+  const receiverNode = await new TransportFixture('b', async () => makeAnswer('done')).start();
+  const proxy = await new SilenceableProxy(receiverNode.transport.linkPort).start();
+  const senderNode = await new TransportFixture('a', undefined, { limits }).start();
+  context.after(async () => {
+    await senderNode.stop();
+    proxy.stop();
+    await receiverNode.stop();
+  });
+  const member = TransportFixture.makeMember('b', proxy.port);
+  const isAnsweredWithin = async (waitMs: number): Promise<boolean> => {
+    const controller = new AbortController();
+    const timer = global.setTimeout(() => controller.abort(), waitMs);
+    const open = makeCallOpen(senderNode.transport.attemptSequence.next());
+    const result = await senderNode.transport.send(member, open, undefined, controller.signal);
+    clearTimeout(timer);
+    return result.kind === 'answer';
+  };
+  assert.equal(await isAnsweredWithin(5000), true);
+  faults['silent towards the sender']!(proxy);
+  let isAnswered = false;
+  for (let call = 0; call < 20 && !isAnswered; call++) {
+    isAnswered = await isAnsweredWithin(limits.stallTimeoutMs / 4);
+    await setTimeout(limits.stallTimeoutMs / 2);
+  }
+  assert.equal(isAnswered, true, 'no call was answered on a second connection');
+});
