Read the bundle as UTF-8

Cause: found when reading the change: the bundle was decoded as Latin-1, so that a character beyond ASCII in it would become others without a sign. Today's bundle has none.

Change: decoded as UTF-8; a test has such a character.

Result: the tests of code-cache and of the launcher pass.

--- a/packages/code-cache/src/load-bundle.test.ts
+++ b/packages/code-cache/src/load-bundle.test.ts
@@ -7,12 +7,16 @@
 
 interface Sample {
   readonly add: (left: number, right: number) => number;
+  readonly sign: string;
 }
 
 const folder = mkdtempSync(join(tmpdir(), 'sequoiafield-code-cache-'));
 const bundleFile = join(folder, 'bundle.cjs');
 const cacheFile = join(folder, 'bundle.cache');
-const source = "const os = require('node:os'); exports.add = (a, b) => a + b + 0 * os.uptime();";
+const source = `
+  const os = require('node:os');
+  exports.add = (a, b) => a + b + 0 * os.uptime();
+  exports.sign = '≤';`;
 
 beforeEach(() => {
   writeFileSync(bundleFile, source);
@@ -27,6 +31,7 @@
   const { exports, cacheState } = loadBundle<Sample>(bundleFile, cacheFile);
   assert.equal(cacheState, CodeCacheState.Accepted);
   assert.equal(exports.add(2, 3), 5);
+  assert.equal(exports.sign, '≤');
 });
 
 test('a bundle runs without a code cache', () => {
--- a/packages/code-cache/src/load-bundle.ts
+++ b/packages/code-cache/src/load-bundle.ts
@@ -71,8 +71,7 @@
   bundleFile: string,
   cacheFile?: string,
 ): LoadedBundle<Exports> => {
-  // The bundle is ASCII text; decoded as such it takes one byte per character in memory.
-  const source = readFileSync(bundleFile, 'latin1');
+  const source = readFileSync(bundleFile, 'utf8');
   const parameters = 'exports, require, module, __filename, __dirname';
   const cachedCode = readCache(cacheFile);
   const script = new Script(`(function (${parameters}) {${source}\n})`, {
