Count requests that waited unread and pushes that waited for the byte budget

Cause: neither logs nor metrics could tell a long accept queue from a slow link or a slow connection to the own server, nor a head that waits for the byte budget from one that peers do not deliver. Change: a monitor bounds the wait of each new connection by the time since the accept queue was last empty; event 1506 names the longest wait of a period, the metrics requests_late_total, requests_abandoned_total and gossip_deferred_pushes_total count. Behaviour of calls is unchanged.

--- a/packages/calls/src/call-counters.ts
+++ b/packages/calls/src/call-counters.ts
@@ -2,6 +2,12 @@
 export class CallCounters {
   callsStarted = 0;
 
+  /** Requests whose connection may have waited too long to be accepted. */
+  requestsLate = 0;
+
+  /** Requests that were dropped because their caller had closed the connection. */
+  requestsAbandoned = 0;
+
   callsAnswered = 0;
 
   callsNotRun = 0;
--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -12,6 +12,7 @@
   RefusalOutcome,
 } from '@sequoiafield/types';
 import { fastify, type FastifyInstance } from 'fastify';
+import { AcceptQueueMonitor } from './accept-queue-monitor.js';
 import { AnswerWriter } from './answer-writer.js';
 import type { CallProxyOptions } from './call-proxy-options.js';
 import { RetryingCall, type RoutedRequest } from './retrying-call.js';
@@ -31,6 +32,11 @@
 const keepAliveTimeoutMs = 75_000;
 /** Retry hint of a node that does not serve yet; one that starts gets its configuration in this time. */
 const notServingRetryAfterMs = 600;
+/**
+ * Time that a request may wait unread. After a longer one its caller may have left, and the close is
+ * read after the request.
+ */
+const unreadWaitMaxMs = 100;
 /** Time by which this side closes an idle connection later than callers may reuse it. */
 const idleCloseMarginMs = 1000;
 
@@ -48,6 +54,8 @@
 
   readonly #lagMonitor = new EventLoopLagMonitor();
 
+  readonly #acceptQueueMonitor: AcceptQueueMonitor;
+
   /**
    * Systems to run each tick; without them calls work, but a lagging event loop is not detected.
    */
@@ -76,6 +84,8 @@
         this.#accept(request.raw, reply.raw);
       },
     });
+    this.#acceptQueueMonitor = new AcceptQueueMonitor(options.logger);
+    this.#acceptQueueMonitor.watch(this.#server.server);
     this.#addRoutes();
   }
 
@@ -160,6 +170,9 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     // The wait for a close below counts towards the deadline.
     const arrivedAtMs = monotonicNowMs();
+    if (this.#acceptQueueMonitor.takeWaitMaxMs(request.socket) > unreadWaitMaxMs) {
+      this.counters.requestsLate += 1;
+    }
     if (!this.#lagMonitor.isLagging(arrivedAtMs)) {
       this.#startHandling(request, response, arrivedAtMs);
       return;
@@ -169,8 +182,10 @@
     setImmediate(() => {
       setImmediate(() => {
         const { socket } = request;
-        if (socket.readableEnded || socket.destroyed) response.destroy();
-        else this.#startHandling(request, response, arrivedAtMs);
+        if (socket.readableEnded || socket.destroyed) {
+          this.counters.requestsAbandoned += 1;
+          response.destroy();
+        } else this.#startHandling(request, response, arrivedAtMs);
       });
     });
   }
--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -226,6 +226,12 @@
     'callLinesDropped',
     'Log lines about calls were dropped in the last second; the event counts them by kind.',
   ),
+  connectionsWaited: defineEvent(
+    1506,
+    EventLevel.Warn,
+    'connectionsWaited',
+    'Connections of callers waited to be accepted; the event names the longest possible wait.',
+  ),
   lateAnswerDropped: defineEvent(
     1500,
     EventLevel.Warn,
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -111,6 +111,16 @@
       ),
       source('calls_not_run_total', 'Calls refused as not run', () => counters.callsNotRun),
       source('calls_unknown_total', 'Calls that may have run', () => counters.callsUnknown),
+      source(
+        'requests_late_total',
+        'Requests that may have waited unread for too long',
+        () => counters.requestsLate,
+      ),
+      source(
+        'requests_abandoned_total',
+        'Requests dropped because their caller had left before they were read',
+        () => counters.requestsAbandoned,
+      ),
       source('call_retries_total', 'Attempts after the first', () => counters.retries),
       source(
         'backend_requests_total',
@@ -144,6 +154,11 @@
         'Bytes of gossip to members of other data centres',
         () => membership.counters.sentFarBytes,
       ),
+      source(
+        'gossip_deferred_pushes_total',
+        'Times that changes waited for the byte budget of gossip',
+        () => membership.counters.deferredPushes,
+      ),
       source(
         'gossip_dropped_items_total',
         'Malformed rows, states and registers of peers',
