Push a new configuration without waiting for the byte budget of gossip

Cause: the announcement of a head shared the byte budget (6.5 KB/s a node) with the changes of members. Evidence: head-in-churn.test.ts, 81 nodes, 40 flapping servers: 1,320 to 3,600 ms to all nodes before, 80 to 400 ms now; with 81 flapping servers up to 3,600 and 260 ms; with 20 up to 2,120 ms and with 10 up to 660 ms before. Change: the first pushes of registers (head, stage and verdict of a move) and the request for a newer head are sent at once and overdraw the budget; changes of members wait for it as before.

--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -172,8 +172,14 @@
     this.#spread(`state ${row.id}`, encodeStateRumour({ ...row, state, observers }), isUrgent);
   }
 
+  /**
+   * Spreads a register: of a configuration, or of a stage or verdict of a move. Its first pushes do
+   * not wait for the byte budget, which the changes of many members may use up for seconds.
+   */
   spreadRegister(entry: RegisterEntry): void {
-    this.#spread(`register ${entry.kind} ${entry.key}`, encodeRegister(entry), true);
+    const bytes = encodeRegister(entry);
+    this.#rumourQueue.put(`register ${entry.kind} ${entry.key}`, bytes);
+    this.#push([bytes]);
   }
 
   /** Raises the own refutation or announced incarnation above a received state and spreads it. */
@@ -221,16 +227,16 @@
       return;
     }
     this.#lastPushAtMs = monotonicNowMs();
-    const peers = this.dependencies.peerSelector.pick(
-      this.dependencies.spreadPolicy.pushFanOut,
-      true,
-    );
-    if (peers.length === 0) {
-      this.#pushQueue.clear();
-      return;
-    }
-    const batch = this.#pushQueue.takeBatch();
-    for (const peer of peers) this.send(GossipMessageType.Push, peer, { items: batch });
+    const hasPeers = this.#push(this.#pushQueue.takeBatch());
+    if (!hasPeers) this.#pushQueue.clear();
+  }
+
+  /** Pushes items to random peers at once; returns whether there are any. */
+  #push(items: readonly Uint8Array[]): boolean {
+    const { peerSelector, spreadPolicy } = this.dependencies;
+    const peers = peerSelector.pick(spreadPolicy.pushFanOut, true);
+    for (const peer of peers) this.send(GossipMessageType.Push, peer, { items });
+    return peers.length > 0;
   }
 
   #transmit(bytes: Uint8Array, to: GossipAddress): void {
--- a/packages/membership/src/head-in-churn.test.ts
+++ b/packages/membership/src/head-in-churn.test.ts
@@ -5,7 +5,6 @@
 import { headRegisterKey } from './index.js';
 import { MembershipFleet } from './test-support/membership-fleet.js';
 
-const options = { todo: 'KNOWN-RED.txt, issue 21' };
 const nodesCount = 81;
 const flappingCount = 40;
 const flapIntervalMs = 700;
@@ -49,26 +48,19 @@
       (registers.read(RegisterKind.Head, headRegisterKey)?.rank ?? 0) >= rank,
   );
 
-test(
-  'a head reaches every node in time while backend servers go down and up',
-  options,
-  async () => {
-    // Guards against a configuration that waits behind the changes of members for the byte budget.
-    await fleet.start(nodesCount);
-    const flapping = new ServerFlapping();
-    await flapping.advance(2000);
-    const delaysMs: number[] = [];
-    for (let rank = 1; rank <= headsCount; rank++) {
-      const { registers } = fleet.nodes[nodesCount - rank]!.membership;
-      const publishedAtMs = monotonicNowMs();
-      registers.publish({ kind: RegisterKind.Head, key: headRegisterKey, rank, body: null });
-      while (!isKnownEverywhere(rank)) await flapping.advance(stepMs);
-      delaysMs.push(Math.round(monotonicNowMs() - publishedAtMs));
-      await flapping.advance(headIntervalMs);
-    }
-    assert.ok(
-      Math.max(...delaysMs) <= headDeadlineMs,
-      `reached all after ${delaysMs.join(', ')} ms`,
-    );
-  },
-);
+test('a head reaches every node in time while backend servers go down and up', async () => {
+  // Guards against a configuration that waits behind the changes of members for the byte budget.
+  await fleet.start(nodesCount);
+  const flapping = new ServerFlapping();
+  await flapping.advance(2000);
+  const delaysMs: number[] = [];
+  for (let rank = 1; rank <= headsCount; rank++) {
+    const { registers } = fleet.nodes[nodesCount - rank]!.membership;
+    const publishedAtMs = monotonicNowMs();
+    registers.publish({ kind: RegisterKind.Head, key: headRegisterKey, rank, body: null });
+    while (!isKnownEverywhere(rank)) await flapping.advance(stepMs);
+    delaysMs.push(Math.round(monotonicNowMs() - publishedAtMs));
+    await flapping.advance(headIntervalMs);
+  }
+  assert.ok(Math.max(...delaysMs) <= headDeadlineMs, `reached all after ${delaysMs.join(', ')} ms`);
+});
--- a/packages/membership/src/register-repair.ts
+++ b/packages/membership/src/register-repair.ts
@@ -78,11 +78,11 @@
     const nowMs = monotonicNowMs();
     if (nowMs - this.#headRequestedAtMs < headRequestMinIntervalMs) return;
     this.#headRequestedAtMs = nowMs;
-    this.#sendSummary(peer, true);
+    this.#sendSummary(peer, true, true);
   }
 
-  #sendSummary(peer: GossipRow, isReply: boolean): void {
-    if (!this.sender.hasBytesLeft()) return;
+  #sendSummary(peer: GossipRow, isReply: boolean, isRequired = false): void {
+    if (!isRequired && !this.sender.hasBytesLeft()) return;
     const argument = summarizeRegisters(this.dependencies.registers, isReply);
     this.sender.send(GossipMessageType.RegisterSummary, peer, { argument });
   }
