--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -16,16 +16,16 @@
 import type { WatcherSelector } from './watcher-selector.js';
 
 /**
- * Longest wait of one watch call. A connection can stop delivering data without an error, and a long
- * watch on it would hide changes; a wait of 2.5 s keeps a change within its 2 s deadline, which
- * starts after the 3 s that are allowed to a machine whose connections were reset.
+ * Longest wait of one watch call. A connection can stop delivering data without an error, and a longer
+ * watch on it would hide changes. A machine whose connections were lost has to follow changes again
+ * 3 s later; the rest of that time is left for a call that times out and for delivery to the others.
  */
-const watchWaitMs = 2500;
+const watchWaitMs = 1000;
 /**
  * Longest wait of a watch call of the other watchers. It costs fewer calls, and they are needed only
  * while the first one does not get the changes.
  */
-const laterWatchWaitMs = 10_000;
+const laterWatchWaitMs = 2500;
 /** Delay before a failed call is repeated: doubled per failure up to the maximum, with jitter. */
 const retryMinMs = 100;
 const retryMaxMs = 1000;
