Use no connection again on which the backend server refused a request

Cause: a refusal is believed by its head. On a kept connection, a copy of an earlier one is read as the answer to the next request. With the project's own protocol, whose servers echo no request id, that request then ran at a second server. With the platform's protocol the echoed id shows the copy, but a copy without an id, such as one with status 421, would be believed. Change: the connection is closed as soon as the head of a refusal is read, so that no copy can follow on a connection in use.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -160,6 +160,8 @@
     this.#advertisedKeepAliveMs = readKeepAliveMs(raw);
     if (answerKind !== AnswerKind.Answer) {
       this.#resolveRefusal(answerKind);
+      // A copy of the refusal could be taken for the answer to the next request on the connection.
+      controller.abort(new CallError('The backend server refused the request'));
       return;
     }
     this.#body = new BodyChannel(this);
