Refuse calls late in a planned stop that the node may not see end

Cause: a stopping node listens for up to 0.7 of the grace period while its own server runs calls, and ends at 0.85 of it, whatever the calls taken meanwhile need. Change: from 2.6 s after the signal on, a call whose deadline lies after the end of the node is refused at once as not run, with the connection closed, so that its caller can go to another node. Idempotent calls are refused only if their latency target passes the end: the own server makes such calls for its last runs, which would fail without them. One that takes longer than its target may still be cut; it may run again.

--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -59,6 +59,9 @@
 
   #isClosing = false;
 
+  /** Time at which this node ends, in ms on the monotonic clock. */
+  #endsAtMs = Number.POSITIVE_INFINITY;
+
   #requestCount = 0;
 
   constructor(private readonly options: CallProxyOptions) {
@@ -125,6 +128,14 @@
     this.#isClosing = true;
   }
 
+  /**
+   * Refuses new calls as not run that may still be running at `endsAtMs`, when this node ends. Short
+   * idempotent calls continue to be served, since the own backend server makes them for its last runs.
+   */
+  refuseCallsBeyond(endsAtMs: number): void {
+    this.#endsAtMs = endsAtMs;
+  }
+
   /** Accepts no new connections; requests on open connections continue. */
   stopListening(): void {
     closeWhenQuiet(this.#server.server);
@@ -211,6 +222,10 @@
         createNotRunRefusal(RefusalReason.DeadlinePassed, 'the caller waits no longer'),
       );
     }
+    if (this.#mayOutliveNode(match, deadlineAtMs)) {
+      const detail = 'the node is stopping and may end before the call';
+      return toRefusalResult(createNotRunRefusal(RefusalReason.Draining, detail));
+    }
     scope.startDeadline(deadlineAtMs);
     let body: RequestBody;
     try {
@@ -236,6 +251,13 @@
     return result;
   }
 
+  #mayOutliveNode({ route }: RouteMatch, deadlineAtMs: number): boolean {
+    const { isIdempotent, targetLatencyMs = Number.POSITIVE_INFINITY } = route;
+    // A call that is cut off may run again if it is idempotent.
+    const usualEndAtMs = isIdempotent ? monotonicNowMs() + targetLatencyMs : deadlineAtMs;
+    return Math.min(usualEndAtMs, deadlineAtMs) > this.#endsAtMs;
+  }
+
   #reportEnd(
     call: RoutedRequest,
     retryingCall: RetryingCall,
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -204,6 +204,8 @@
     transport.announceDraining();
     await delay(acceptingRequestsMs - ownServerAcceptsMs);
     const { graceMs } = this.settings;
+    const endsAtMs = startedAtMs + runningCallsGraceShare * graceMs;
+    calls.refuseCallsBeyond(endsAtMs);
     // Calls that run on the own backend server may still make calls through this node.
     await this.#waitWhile(
       () => receiver.running.size > 0,
@@ -211,7 +213,7 @@
     );
     calls.stopListening();
     const isRunning = (): boolean => calls.runningCount > 0 || transport.runningCount > 0;
-    await this.#waitWhile(isRunning, startedAtMs + runningCallsGraceShare * graceMs);
+    await this.#waitWhile(isRunning, endsAtMs);
     membership.announceLeft();
     // The last answers and the announcement above are sent in the next turns of the event loop.
     await delay(idlePollIntervalMs);
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -131,6 +131,7 @@
         deadlineMs: route.timeoutMs,
         retryBudgetPercent: 100 * this.options.retryLimit.ratio,
         attemptsMax: route.attemptsMax,
+        targetLatencyMs: route.targetLatencyMs,
       },
       service: { name: service, priority: route.rank, stableVersion: '' },
     };
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -72,6 +72,8 @@
    * out.
    */
   readonly attemptsMax?: number;
+  /** Time within which most answers of the route are due; its deadline if left out. */
+  readonly targetLatencyMs?: number;
 };
 
 /** Fields of a service that the call path uses. */
