Answer no 404 while a newer configuration is known but not active

Any node with a configuration said so, however old that was. Cause: a request without a route was refused for good before anything about the age of the configuration was asked. The checks on arrival moved to ArrivalCheck, as call-proxy.ts had grown too large. Evidence: not-serving.test.ts, over HTTP: with the check taken out the new test fails (404), with it it passes. orders.test.ts shows that nodes know that they are behind as soon as a head is announced. A node that no announcement has reached still answers 404.

--- a/packages/calls/src/call-proxy-options.ts
+++ b/packages/calls/src/call-proxy-options.ts
@@ -21,6 +21,8 @@
   readonly self: MemberAnnouncement;
   readonly snapshots: Pick<SnapshotView, 'isServing'> & {
     current(): { readonly configVersion: number } | undefined;
+    /** Whether this node knows that there is a newer configuration than the active one. */
+    isOutdated?(): boolean;
   };
   readonly router: Router;
   readonly rollout: RolloutView;
--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -3,7 +3,6 @@
 import { CallError } from '@sequoiafield/errors';
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
 import {
-  bodyMaxBytes,
   RefusalReason,
   type CallRefusal,
   type CallResult,
@@ -13,6 +12,7 @@
 } from '@sequoiafield/types';
 import { fastify, type FastifyInstance } from 'fastify';
 import { AnswerWriter } from './answer-writer.js';
+import { ArrivalCheck } from './arrival-check.js';
 import type { CallProxyOptions } from './call-proxy-options.js';
 import { RetryingCall, type RoutedRequest } from './retrying-call.js';
 import { CallScope } from './call-scope.js';
@@ -29,8 +29,6 @@
 
 /** Idle time after which a caller's connection is closed; longer than common client limits. */
 const keepAliveTimeoutMs = 75_000;
-/** Retry hint of a node that does not serve yet; one that starts gets its configuration in this time. */
-const notServingRetryAfterMs = 600;
 /** Time by which this side closes an idle connection later than callers may reuse it. */
 const idleCloseMarginMs = 1000;
 
@@ -59,8 +57,7 @@
 
   #isClosing = false;
 
-  /** Time at which this node ends, in ms on the monotonic clock. */
-  #endsAtMs = Number.POSITIVE_INFINITY;
+  readonly #arrivalCheck: ArrivalCheck;
 
   #requestCount = 0;
 
@@ -79,6 +76,7 @@
         this.#accept(request.raw, reply.raw);
       },
     });
+    this.#arrivalCheck = new ArrivalCheck(options);
     this.#lateRequestGuard = new LateRequestGuard(this.counters, options.logger);
     this.#lateRequestGuard.watch(this.#server.server);
     this.systems = this.#lateRequestGuard.systems;
@@ -133,7 +131,7 @@
    * idempotent calls continue to be served, since the own backend server makes them for its last runs.
    */
   refuseCallsBeyond(endsAtMs: number): void {
-    this.#endsAtMs = endsAtMs;
+    this.#arrivalCheck.endsAtMs = endsAtMs;
   }
 
   /** Accepts no new connections; requests on open connections continue. */
@@ -211,25 +209,17 @@
     const match = this.options.router.match(method, pathOf(path), host);
     const refusal = this.#checkOnArrival(request, requestId, match);
     if (refusal) return toRefusalResult(refusal);
-    if (!match)
-      return toRefusalResult(
-        createNotRunRefusal(RefusalReason.NoRoute, `no route for ${method} ${path}`),
-      );
+    if (!match) return toRefusalResult(this.#arrivalCheck.refuseWithoutRoute(method, path));
     const deadlineMs = readDeadlineMs(request, match.route.deadlineMs, this.#protocol);
     const deadlineAtMs = arrivedAtMs + deadlineMs;
-    if (deadlineAtMs <= monotonicNowMs()) {
-      return toRefusalResult(
-        createNotRunRefusal(RefusalReason.DeadlinePassed, 'the caller waits no longer'),
-      );
-    }
-    if (this.#mayOutliveNode(match, deadlineAtMs)) {
-      const detail = 'the node is stopping and may end before the call';
-      return toRefusalResult(createNotRunRefusal(RefusalReason.Draining, detail));
-    }
+    const deadlineRefusal = this.#arrivalCheck.checkDeadline(match.route, deadlineAtMs);
+    if (deadlineRefusal) return toRefusalResult(deadlineRefusal);
     scope.startDeadline(deadlineAtMs);
     let body: RequestBody;
     try {
-      body = await new RequestBodyReader(request, this.#bodyMaxBytes()).read(scope.signal);
+      body = await new RequestBodyReader(request, this.#arrivalCheck.bodyMaxBytes).read(
+        scope.signal,
+      );
     } catch {
       const detail = 'the request body did not arrive in time';
       return toRefusalResult(createNotRunRefusal(RefusalReason.DeadlinePassed, detail));
@@ -251,13 +241,6 @@
     return result;
   }
 
-  #mayOutliveNode({ route }: RouteMatch, deadlineAtMs: number): boolean {
-    const { isIdempotent, targetLatencyMs = Number.POSITIVE_INFINITY } = route;
-    // A call that is cut off may run again if it is idempotent.
-    const usualEndAtMs = isIdempotent ? monotonicNowMs() + targetLatencyMs : deadlineAtMs;
-    return Math.min(usualEndAtMs, deadlineAtMs) > this.#endsAtMs;
-  }
-
   #reportEnd(
     call: RoutedRequest,
     retryingCall: RetryingCall,
@@ -278,10 +261,6 @@
     });
   }
 
-  #bodyMaxBytes(): number {
-    return this.options.clientLimits?.()?.bodyMaxBytes ?? bodyMaxBytes;
-  }
-
   #checkOnArrival(
     request: IncomingMessage,
     requestId: string,
@@ -290,18 +269,7 @@
     if (this.#isDraining && !this.options.receiver.running.has(requestId)) {
       return createNotRunRefusal(RefusalReason.Draining, 'the node is stopping');
     }
-    if (!this.options.snapshots.isServing()) {
-      const detail = 'the node holds no current configuration';
-      const retryAfterMs = notServingRetryAfterMs * (0.75 + 0.5 * this.options.random.next());
-      return { ...createNotRunRefusal(RefusalReason.NotReady, detail), retryAfterMs };
-    }
-    if (match && Number(request.headers['content-length'] ?? 0) > this.#bodyMaxBytes()) {
-      return createNotRunRefusal(
-        RefusalReason.BodyTooLarge,
-        `the body exceeds ${this.#bodyMaxBytes()} bytes`,
-      );
-    }
-    return undefined;
+    return this.#arrivalCheck.checkRequest(request, match);
   }
 
   async #writeResult(
--- a/packages/calls/src/not-serving.test.ts
+++ b/packages/calls/src/not-serving.test.ts
@@ -35,3 +35,13 @@
   const isSpread = new Set(hints).size > 1;
   assert.ok(hints.every((hint) => hint >= hintMinMs && hint <= hintMaxMs) && isSpread, `${hints}`);
 });
+
+test('a node that knows of a newer configuration does not say that a route is missing', async () => {
+  // Guards against 404 for a route that was added, which callers do not repeat.
+  const node = await new CallNodeFixture('a').start();
+  assert.equal((await fetch(`${node.url}/none`)).status, 404);
+  node.isOutdated = true;
+  assert.equal((await fetch(`${node.url}/none`)).status, 503);
+  node.isOutdated = false;
+  assert.equal((await fetch(`${node.url}/none`)).status, 404);
+});
--- a/packages/calls/src/test-support/call-node-fixture.ts
+++ b/packages/calls/src/test-support/call-node-fixture.ts
@@ -98,6 +98,8 @@
 
   #isServing = true;
 
+  isOutdated = false;
+
   readonly self: MemberRow;
 
   readonly transport: Transport;
@@ -178,6 +180,7 @@
       snapshots: {
         current: () => undefined,
         isServing: () => this.#isServing,
+        isOutdated: () => this.isOutdated,
       },
       router: {
         match: (method, path) =>
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -277,6 +277,7 @@
     self: { ...self, address: settings.ingress.address },
     snapshots: {
       isServing: availability.isServing,
+      isOutdated: () => orders.isBehind(),
       current: () => ({ configVersion: orders.view.current().configuration?.version ?? 0 }),
     },
     router,
--- a/packages/orders/src/create-orders.ts
+++ b/packages/orders/src/create-orders.ts
@@ -37,6 +37,8 @@
   readonly systems: readonly System[];
   /** Monotonic time in ms of the store's last answer to this node; -Infinity before the first. */
   lastStoreAnswerAtMs(): number;
+  /** Whether a peer announced a newer revision than the one that this node holds. */
+  isBehind(): boolean;
   stop(): void;
 }
 
@@ -57,6 +59,7 @@
     view: table,
     systems: [follower],
     lastStoreAnswerAtMs: () => follower.lastStoreAnswerAtMs,
+    isBehind: () => follower.isBehind,
     stop: () => follower.stop(),
   };
 };
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -117,6 +117,13 @@
     return this.#lastAnswerAtMs;
   }
 
+  /** Whether a peer announced a newer revision than the one that this node holds. */
+  get isBehind(): boolean {
+    const { table, registers } = this.dependencies;
+    const head = registers.read(RegisterKind.Head, headRegisterKey);
+    return (head?.rank ?? 0) > table.storeRevision;
+  }
+
   stop(): void {
     this.#isStopped = true;
   }
@@ -167,9 +174,8 @@
   }
 
   #trackGossipLag(nowMs: number): void {
-    const { table, registers } = this.dependencies;
-    const head = registers.read(RegisterKind.Head, headRegisterKey);
-    const isBehind = (head?.rank ?? 0) > table.storeRevision;
+    const { table } = this.dependencies;
+    const { isBehind } = this;
     const hasAdvanced = table.storeRevision !== this.#revisionWhenBehind;
     this.#revisionWhenBehind = table.storeRevision;
     // In a storm of changes a node that follows is always behind the newest revision.
--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -148,3 +148,20 @@
   await clock.advance(300);
   assert.deepEqual(fixture.versions(), [2]);
 });
+
+test('a node knows that it is behind from the announcement until it holds the revision', async () => {
+  // Guards against a node that answers for an older configuration although it knows of a newer one.
+  const store = new FakeRangeStore();
+  store.put('op/c', '1');
+  const fixture = new OrdersFixture(dataCentres, () => store);
+  await clock.advance(startMs);
+  fixture.linkDelayMs = 300;
+  const countBehind = (): number =>
+    [...fixture.nodes.values()].filter(({ orders }) => orders.isBehind()).length;
+  assert.equal(countBehind(), 0);
+  store.put('op/c', '2');
+  await clock.advance(100);
+  assert.ok(countBehind() >= dataCentres.length - 3, `${countBehind()} nodes know it`);
+  await clock.advance(900);
+  assert.equal(countBehind(), 0);
+});
