Test that dropped requests do not count as running

Cause: requests count as running while they wait for a close of their caller, so that one that is dropped must be taken off, or a planned stop waits for it. Change: accept-queue.test.ts checks the count afterwards.

--- a/packages/calls/src/accept-queue.test.ts
+++ b/packages/calls/src/accept-queue.test.ts
@@ -38,7 +38,7 @@
  */
 const serveInBusyTurns = async (
   leaveAfterMs: number,
-): Promise<{ runsAtMs: number[]; leftAtMs: number; answers: number }> => {
+): Promise<{ runsAtMs: number[]; leftAtMs: number; answers: number; runningCount: number }> => {
   const runsAtMs: number[] = [];
   const [, origin] = await listen((_request, response) => {
     runsAtMs.push(Date.now());
@@ -69,14 +69,15 @@
   }
   isBusy = false;
   const [leftAtMs = 0, answers = 0] = printed.trim().split('\n').map(Number);
-  return { runsAtMs, leftAtMs, answers };
+  return { runsAtMs, leftAtMs, answers, runningCount: node.calls.runningCount };
 };
 
 test('a request whose client left while its connection waited to be accepted does not run', async () => {
   // Guards against work for callers that left, by a node whose accept queue is longer than its turns.
-  const { runsAtMs, leftAtMs } = await serveInBusyTurns(150);
+  const { runsAtMs, leftAtMs, runningCount } = await serveInBusyTurns(150);
   const lateRuns = runsAtMs.filter((atMs) => atMs > leftAtMs + lateAfterMs);
   assert.equal(lateRuns.length, 0, `${lateRuns.length} of ${runsAtMs.length} runs are late`);
+  assert.equal(runningCount, 0, 'a planned stop would wait for requests that were dropped');
 });
 
 test('a request whose client waits is served after its connection waited to be accepted', async () => {
