--- a/packages/calls/src/endless-answers.test.ts
+++ b/packages/calls/src/endless-answers.test.ts
@@ -3,7 +3,7 @@
 import { after, test } from 'node:test';
 import { BodyChannel } from '@sequoiafield/transport';
 import { monotonicNowMs } from '@sequoiafield/tables';
-import { sampleOpen, waitUntil } from '@sequoiafield/test-kit';
+import { sampleOpen, waitUntil, writeWithoutEnd } from '@sequoiafield/test-kit';
 import { bodyMaxBytes, RefusalOutcome } from '@sequoiafield/types';
 import type { BackendRequestOutcome } from './backend-client.js';
 import { DefaultCallProtocol, UndiciBackendClient } from './index.js';
@@ -30,16 +30,6 @@
 /** Lines of one write; single ones would keep the event loop, which the client shares, busy with writes. */
 const linesPerWrite = 512;
 
-/** Writes `repeated` until the peer closes the connection, as fast as it reads. */
-const writeWithoutEnd = (socket: Socket, start: string, repeated: string): void => {
-  socket.write(start);
-  const write = (): void => {
-    while (!socket.destroyed && socket.writable && socket.write(repeated));
-  };
-  socket.on('drain', write);
-  write();
-};
-
 const readBody = async (body: AsyncIterable<Uint8Array>): Promise<string> => {
   try {
     for await (const chunk of body) if (chunk.length === 0) return 'empty chunk';
