Name what a late request may be, and say when a summary is sent

Cause: a callback was called onGone where the counter says abandoned, a test's comment was roundabout, and the flag of a summary was not explained. Change: onAbandoned, the comments. Result: lint and types are clean; behaviour is unchanged.

--- a/packages/calls/src/accept-queue.test.ts
+++ b/packages/calls/src/accept-queue.test.ts
@@ -33,8 +33,8 @@
 `;
 
 /**
- * Serves clients with a node whose turns of the event loop are short but not short enough: it accepts
- * one connection in each. Returns the Unix times at which requests ran, and what the clients printed.
+ * Serves clients with a node whose event loop accepts one connection in each turn of `turnMs`. Returns
+ * the Unix times at which requests ran, what the clients printed, and the calls that still run.
  */
 const serveInBusyTurns = async (
   leaveAfterMs: number,
--- a/packages/calls/src/late-request-guard.ts
+++ b/packages/calls/src/late-request-guard.ts
@@ -33,10 +33,10 @@
   }
 
   /**
-   * Calls `onPresent` for a request whose caller may wait, or `onGone` if the caller closed the
+   * Calls `onPresent` for a request whose caller may wait, or `onAbandoned` if the caller closed the
    * connection; called when the request has been read.
    */
-  check(request: IncomingMessage, onPresent: () => void, onGone: () => void): void {
+  check(request: IncomingMessage, onPresent: () => void, onAbandoned: () => void): void {
     if (!this.#mayHaveWaited(request)) {
       onPresent();
       return;
@@ -51,7 +51,7 @@
           return;
         }
         this.counters.requestsAbandoned += 1;
-        onGone();
+        onAbandoned();
       });
     });
   }
--- a/packages/membership/src/register-repair.ts
+++ b/packages/membership/src/register-repair.ts
@@ -81,6 +81,7 @@
     this.#sendSummary(peer, true, true);
   }
 
+  /** Sends a summary; one that is not required only if the byte budget has bytes left. */
   #sendSummary(peer: GossipRow, isReply: boolean, isRequired = false): void {
     if (!isRequired && !this.sender.hasBytesLeft()) return;
     const argument = summarizeRegisters(this.dependencies.registers, isReply);
