Open no second connection for a call that was aborted

What callers saw: nothing by themselves; the server behind a node got a second connection for each call that was cancelled, timed out or refused on a connection that the node then ended, beyond the number of connections that the node keeps to. Cause: each connection of the pool has a client of `undici` of its own. After an abort the pool closed the client in an orderly way; `undici` keeps the aborted request queued until a connection is open, and so opened one for it. Change: a client whose answer was not read whole is destroyed. Orderly closing stays for whole answers.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -67,6 +67,8 @@
 
   #isAnswerResolved = false;
 
+  #isAnswerWhole = false;
+
   #connection: { readonly hasErrored: boolean } | undefined;
 
   /** Whether the answer has a length or chunks, by which its end can be detected. */
@@ -114,6 +116,11 @@
     return this.#usableKeepAliveMs === 0 ? 0 : this.#writtenAtMs + this.#usableKeepAliveMs;
   }
 
+  /** Whether the whole answer was read, so that nothing of it is left on the connection. */
+  get isAnswerWhole(): boolean {
+    return this.#isAnswerWhole;
+  }
+
   /** Aborts the request; if it is not written yet, nothing is sent. */
   abort(reason: RefusalReason): void {
     this.#abortReason ??= reason;
@@ -192,6 +199,7 @@
       this.onResponseError(controller, error);
       return;
     }
+    this.#isAnswerWhole = true;
     this.#body?.end();
     if (this.#body && !this.#isAnswerResolved) this.#resolveAnswer();
     this.#usableKeepAliveMs = this.#advertisedKeepAliveMs;
--- a/packages/calls/src/keep-alive-connection-pool.test.ts
+++ b/packages/calls/src/keep-alive-connection-pool.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
-import type { RequestListener } from 'node:http';
+import type { IncomingMessage, RequestListener } from 'node:http';
 import type { Socket } from 'node:net';
 import { setTimeout } from 'node:timers/promises';
 import { test } from 'node:test';
+import { waitUntil } from '@sequoiafield/test-kit';
 import { listen, CallNodeFixture } from './test-support/call-node-fixture.js';
 
 /** Starts a backend server that records its connections and the ids of requests that it ran. */
@@ -23,6 +24,9 @@
   return { origin, usedSockets, runs };
 };
 
+/** Time in which a loopback connection opens. */
+const connectionOpensWithinMs = 50;
+
 const answerRequest: RequestListener = (_request, response) => response.end('done');
 const dropConnection: RequestListener = (request) => request.socket.destroy();
 
@@ -118,3 +122,24 @@
   const results = [await call('first'), await call('second')];
   assert.deepEqual([results, runs], [['200 null', '502 unknown'], ['second']]);
 });
+
+test('a call whose caller leaves opens no second connection to the server', async () => {
+  // Guards against connections beyond the limit of a server, opened for calls that were cancelled.
+  const requests: IncomingMessage[] = [];
+  const connections: Socket[] = [];
+  const [server, origin] = await listen((request) => requests.push(request));
+  server.on('connection', (socket) => connections.push(socket));
+  const node = await new CallNodeFixture('a', { origin }).start();
+  node.setMembers([node.row]);
+  for (let call = 1; call <= 5; call += 1) {
+    const caller = new AbortController();
+    const headers = { 'x-sequoiafield-deadline-ms': '5000' };
+    const answer = fetch(`${node.url}/ok`, { method: 'POST', headers, signal: caller.signal });
+    await waitUntil(() => requests.length === call);
+    caller.abort();
+    await answer.catch(() => undefined);
+    await waitUntil(() => requests.every(({ socket }) => socket.destroyed));
+    await setTimeout(connectionOpensWithinMs);
+  }
+  assert.deepEqual([requests.length, connections.length], [5, 5]);
+});
--- a/packages/calls/src/keep-alive-connection-pool.ts
+++ b/packages/calls/src/keep-alive-connection-pool.ts
@@ -78,7 +78,8 @@
 
   #release(connection: KeepAliveConnection, exchange: BackendExchange): void {
     if (connection.recordExchangeEnd(exchange)) this.#idleConnections.push(connection);
-    else this.#closeConnection(connection);
+    else if (exchange.isAnswerWhole) this.#closeConnection(connection);
+    else this.#destroyConnection(connection);
     const next = this.#queue.shift();
     if (next) this.dispatch(next.options, next.exchange, next.deadlineAtMs);
   }
@@ -88,4 +89,10 @@
     // No request runs on it; unlike `destroy`, `close` lets the end of the last answer through.
     connection.client.close().catch(() => undefined);
   }
+
+  #destroyConnection(connection: KeepAliveConnection): void {
+    this.#openConnections.delete(connection);
+    // For an aborted request, `undici` opens a new connection before it drops the request.
+    connection.client.destroy().catch(() => undefined);
+  }
 }
