Use a connection again after a refusal that names its request

Cause: ended every connection on which a server refused, since a copy of the refusal could be taken for the answer to the next request. Where servers echo the request id, the id shows the copy. Change: the call protocol says whether a head names its request; a refusal with a known length that names it keeps its connection, and 16 KiB of its body are read at most. Any other refusal ends the connection as before. Evidence: connections-after-refusals.test.ts, real sockets: ten named refusals took 19 connections with the exchange of before and take 1; ten unnamed ones take 10; a named copy on a kept connection leaves the outcome unknown; a refusal without end closes its connection before the deadline.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -11,6 +11,8 @@
 
 /** Unconsumed bytes of an answer above which reading from the backend server is paused. */
 const bufferMaxBytes = 256 * 1024;
+/** Bytes of a refusal's body that are read and dropped, so that its connection can be reused. */
+const refusalBodyMaxBytes = 16 * 1024;
 const serverErrorStatusMin = 500;
 
 const decodeHeaders = (raw: readonly (Buffer | string)[]): string[] =>
@@ -167,8 +169,9 @@
     this.#advertisedKeepAliveMs = readKeepAliveMs(raw);
     if (answerKind !== AnswerKind.Answer) {
       this.#resolveRefusal(answerKind);
-      // A copy of the refusal could be taken for the answer to the next request on the connection.
-      controller.abort(new CallError('The backend server refused the request'));
+      // A copy that names no request could be taken for the answer to the next one.
+      const isKept = this.#isDelimited && protocol.namesRequest({ status, headers });
+      if (!isKept) controller.abort(new CallError('A refusal that names no request'));
       return;
     }
     this.#body = new BodyChannel(this);
@@ -177,12 +180,13 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.#body) return;
     this.#receivedBytes += chunk.byteLength;
-    if (this.#receivedBytes > bodyMaxBytes) {
-      controller.abort(new CallError(`The answer is longer than ${bodyMaxBytes} bytes`));
+    const maxBytes = this.#isRefused ? refusalBodyMaxBytes : bodyMaxBytes;
+    if (this.#receivedBytes > maxBytes) {
+      controller.abort(new CallError(`The answer is longer than ${maxBytes} bytes`));
       return;
     }
+    if (!this.#body) return;
     this.#bufferedBytes += chunk.byteLength;
     this.#body.push(chunk);
     if (!this.#isAnswerResolved) {
--- a/packages/calls/src/call-protocol.ts
+++ b/packages/calls/src/call-protocol.ts
@@ -53,6 +53,11 @@
   backendHeaders(open: CallOpen, remainingMs: number, serverId: string): readonly HeaderPair[];
   /** Classifies the head of an answer to the request with this id. */
   classifyAnswer(requestId: string, head: BackendAnswerHead): AnswerKind;
+  /**
+   * Whether a head names the request that it answers, so that `classifyAnswer` detects a copy of it
+   * among the answers to other requests.
+   */
+  namesRequest(head: BackendAnswerHead): boolean;
   /** Returns the status and headers with which a refusal is sent to the caller. */
   refusalHead(refusal: CallRefusal): RefusalHead;
 }
@@ -112,6 +117,11 @@
     return status === serviceUnavailableStatus && isNotRun ? AnswerKind.NotRun : AnswerKind.Answer;
   }
 
+  /** Backend servers of this protocol echo no request id. */
+  namesRequest(): boolean {
+    return false;
+  }
+
   refusalHead(refusal: CallRefusal): RefusalHead {
     return {
       status: httpStatusOf(refusal),
