Exchange rows with a member that knows others than this node

In a real mesh a node sent no call to a server that it did not know, for up to half a minute. Cause: a node that misses the row of a member (rows of joining members are sent four times by each node) found it out only by an exchange with a random peer, 1.5 to 4.5 s after its start, then every 15 to 45 s, or by a probe of that member. Where nodes start at the same moment, the first exchange may come too early, or its peer lacks the row too. Ruled out: too little processor time alone. Change: an ack carries the number and a hash of the members that its sender knows, in a field that was empty; earlier versions ignore it and send none. If they differ and the sender knows at least as many, the node exchanges rows with it, at most every 3 s; the interval doubles up to 30 s while that brings no row.

--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -207,7 +207,7 @@
     if (received.announcedIncarnation < own.announcedIncarnation) return;
     if (own.state === MemberState.Left || this.#announcedRaises >= announcedRaisesMax) return;
     this.#announcedRaises += 1;
-    own.announcedIncarnation = received.announcedIncarnation + 1;
+    this.dependencies.members.raiseOwnIncarnation(received.announcedIncarnation + 1);
     this.spreadRow(own, true);
   }
 
--- a/packages/membership/src/joiner.ts
+++ b/packages/membership/src/joiner.ts
@@ -2,6 +2,7 @@
 import { MemberState, type Seed } from '@sequoiafield/types';
 import { createMembershipError } from './create-membership-error.js';
 import type { Gossip } from './gossip.js';
+import type { GossipRow } from './gossip-row.js';
 import type { MembersTable } from './members-table.js';
 import type { GossipPeerSelector } from './gossip-peer-selector.js';
 import type { Prober } from './prober.js';
@@ -54,6 +55,12 @@
 
   #isFirstSync = true;
 
+  /** Member to exchange rows with next; a random one if it is undefined. */
+  #nextPeer: GossipRow | undefined;
+
+  /** Time from one exchange to the next with a member that knows more. */
+  #repairIntervalMs = earlySyncMinIntervalMs;
+
   #failedAttempts = 0;
 
   #pullStartedAtMs = Number.NEGATIVE_INFINITY;
@@ -100,6 +107,19 @@
     );
   }
 
+  /**
+   * Schedules an early exchange with a member that knows more. The interval grows while exchanges
+   * bring no row, such as when a row that expired here is still kept there.
+   */
+  syncWith(peer: GossipRow): void {
+    if (!this.#isJoined) return;
+    this.#nextPeer = peer;
+    this.#nextPullAtMs = Math.min(
+      this.#nextPullAtMs,
+      this.#pullStartedAtMs + this.#repairIntervalMs,
+    );
+  }
+
   run(tick: Tick): void {
     this.#announceReady();
     this.#pingWhileAlone(tick.nowMs);
@@ -114,7 +134,7 @@
     this.#pullStartedAtMs = tick.nowMs;
     this.#pull()
       .then(
-        () => this.#onPullSucceeded(),
+        (mergedRows) => this.#onPullSucceeded(mergedRows),
         () => this.#onPullFailed(),
       )
       .finally(() => {
@@ -148,13 +168,17 @@
     this.gossip.spreadRow(this.gossip.ownRow(), true);
   }
 
-  async #pull(): Promise<void> {
+  async #pull(): Promise<number> {
     const hasNoPeers = this.members.fleetSize() <= 1;
     if (hasNoPeers) await this.#pingRandomSeeds();
-    const peers = this.peerSelector.pick(this.#isJoined ? 1 : pullPeersMax, false);
+    const nextPeer = this.#nextPeer;
+    this.#nextPeer = undefined;
+    const peers = nextPeer
+      ? [nextPeer]
+      : this.peerSelector.pick(this.#isJoined ? 1 : pullPeersMax, false);
     if (peers.length === 0 && this.#seeds.length > 0)
       throw createMembershipError('No seed answered the ping of this node');
-    await this.rowSync.pullFrom(peers);
+    return this.rowSync.pullFrom(peers);
   }
 
   async #pingRandomSeeds(): Promise<void> {
@@ -180,10 +204,14 @@
   #onPullFailed(): void {
     this.#retryDelayMs = Math.min(retryDelayMaxMs, this.#retryDelayMs * 2);
     this.#failedAttempts += 1;
-    if (!this.#isJoined && this.#failedAttempts >= joinAttemptsMax) this.#onPullSucceeded();
+    if (!this.#isJoined && this.#failedAttempts >= joinAttemptsMax) this.#onPullSucceeded(0);
   }
 
-  #onPullSucceeded(): void {
+  #onPullSucceeded(mergedRows: number): void {
+    this.#repairIntervalMs =
+      mergedRows > 0
+        ? earlySyncMinIntervalMs
+        : Math.min(syncIntervalMs, this.#repairIntervalMs * 2);
     if (!this.#isJoined) this.gossip.spreadRow(this.gossip.ownRow(), true);
     this.#isJoined = true;
     this.#retryDelayMs = retryDelayMinMs;
--- a/packages/membership/src/members-table.ts
+++ b/packages/membership/src/members-table.ts
@@ -1,6 +1,7 @@
 import { Table, monotonicNowMs } from '@sequoiafield/tables';
 import { MemberState, type MemberRow, type MemberView } from '@sequoiafield/types';
 import { comparePrecedence, isLiveState, type GossipRow } from './gossip-row.js';
+import { hashText32 } from './hash.js';
 
 /** State that a node knows of a member, without its addresses. */
 export type KnownMemberState = Pick<
@@ -8,6 +9,12 @@
   'announcedIncarnation' | 'incarnation' | 'refutation' | 'state'
 >;
 
+/** Which members and incarnations a node knows, in a form that can be compared. */
+export interface KnownMembersSummary {
+  readonly count: number;
+  readonly hash: number;
+}
+
 interface Tombstone {
   readonly announcedIncarnation: number;
   readonly incarnation: number;
@@ -23,6 +30,9 @@
 /** Longer than any rumour circulates. */
 const tombstoneRetentionMs = 48 * hourMs;
 
+const identityHash = ({ id, announcedIncarnation }: GossipRow): number =>
+  hashText32(`${id} ${announcedIncarnation}`);
+
 /**
  * Table of the members that this node knows, indexed by service and by liveness.
  *
@@ -40,6 +50,8 @@
 
   readonly #livePositions = new Map<string, number>();
 
+  #identitiesHash = 0;
+
   readonly #tombstones = new Map<string, Tombstone>();
 
   constructor(readonly self: GossipRow) {
@@ -58,6 +70,18 @@
     return this.#live.length;
   }
 
+  /** Summarizes the known members in any state. */
+  summary(): KnownMembersSummary {
+    return { count: this.rows.size, hash: this.#identitiesHash >>> 0 };
+  }
+
+  /** Raises the announced incarnation of the own row. */
+  raiseOwnIncarnation(announcedIncarnation: number): void {
+    this.#identitiesHash ^= identityHash(this.self);
+    this.self.announcedIncarnation = announcedIncarnation;
+    this.#identitiesHash ^= identityHash(this.self);
+  }
+
   /** Returns the live members, this node included, in no order; valid until the next change. */
   live(): readonly GossipRow[] {
     return this.#live;
@@ -202,12 +226,14 @@
 
   #insert(row: GossipRow): void {
     this.rows.set(row.id, row);
+    this.#identitiesHash ^= identityHash(row);
     this.#addToService(row);
     if (isLiveState(row.state)) this.#addLive(row);
   }
 
   #remove(row: GossipRow): void {
     this.rows.delete(row.id);
+    this.#identitiesHash ^= identityHash(row);
     this.#removeFromService(row);
     this.#removeLive(row);
   }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -138,7 +138,10 @@
     onUnknownMember: () => createdJoiner?.syncSoon(),
   });
   const gossip = createdGossip;
-  const prober = new Prober(members, gossip, suspicions, peerSelector, suspicionPolicy, random);
+  const prober = new Prober(
+    ...([members, gossip, suspicions, peerSelector, suspicionPolicy, random] as const),
+    (peer) => createdJoiner?.syncWith(peer),
+  );
   const rowSync = new RowSync(members, links, gossip.malformedItems);
   const isReady = options.isReady ?? (() => true);
   const joiner = new Joiner(members, gossip, prober, rowSync, peerSelector, random, isReady);
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -2,7 +2,7 @@
 import { MemberState } from '@sequoiafield/types';
 import type { Gossip } from './gossip.js';
 import { isLiveState, type GossipRow } from './gossip-row.js';
-import type { MembersTable } from './members-table.js';
+import type { KnownMembersSummary, MembersTable } from './members-table.js';
 import type { GossipPeerSelector } from './gossip-peer-selector.js';
 import type { SuspicionPolicy } from './policies.js';
 import type { SuspicionTracker } from './suspicion-tracker.js';
@@ -43,11 +43,20 @@
 /** A node that received no ack for longer is assumed to be isolated and reports no suspicion. */
 const isolationTimeoutMs = 3500;
 
+const encodeSummary = ({ count, hash }: KnownMembersSummary): readonly number[] => [count, hash];
+
+/** Returns undefined if the argument is no summary; nodes of earlier versions send none. */
+const parseSummary = (argument: unknown): KnownMembersSummary | undefined => {
+  if (!Array.isArray(argument) || !argument.every(Number.isInteger)) return undefined;
+  const [count, hash] = argument as readonly number[];
+  return count === undefined || hash === undefined ? undefined : { count, hash };
+};
+
 /**
  * Probes members, requests indirect probes of those that do not answer, and answers probes.
  *
  * @example
- * const prober = new Prober(members, gossip, suspicions, peerSelector, policy, random);
+ * const prober = new Prober(members, gossip, suspicions, peerSelector, policy, random, onKnowsMore);
  * prober.run(tick);
  */
 export class Prober implements System {
@@ -83,6 +92,8 @@
     private readonly peerSelector: GossipPeerSelector,
     private readonly policy: SuspicionPolicy,
     private readonly random: RandomSource,
+    /** Called when a member that answered a probe knows members that this node does not know. */
+    private readonly onKnowsMore: (peer: GossipRow) => void,
   ) {
     gossip.on(GossipMessageType.Ping, (message) => this.#onPing(message));
     gossip.on(GossipMessageType.Ack, (message) => this.#onAck(message));
@@ -213,12 +224,14 @@
     if (!sender || !isAddressed) return;
     this.gossip.send(GossipMessageType.Ack, sender, {
       sequence: message.sequence,
+      argument: encodeSummary(this.members.summary()),
       items: [encodeRow(this.gossip.ownRow()), ...this.#encodeRefutableState(sender)],
       hasRumours: true,
     });
   }
 
   #onAck(message: GossipMessage): void {
+    this.#compareMembers(message);
     const relayedProbe = this.#relayedProbes.get(message.sequence);
     if (relayedProbe) {
       this.#relayedProbes.delete(message.sequence);
@@ -234,6 +247,15 @@
     this.#noAckSinceMs = this.#lastAckAtMs;
   }
 
+  /** A peer that knows fewer members compares for itself when this node answers its probe. */
+  #compareMembers({ fromId, argument }: GossipMessage): void {
+    const peer = this.members.get(fromId);
+    const known = parseSummary(argument);
+    const own = this.members.summary();
+    if (peer && known && known.hash !== own.hash && known.count >= own.count)
+      this.onKnowsMore(peer);
+  }
+
   #onPingRequest(message: GossipMessage): void {
     const origin = this.members.get(message.fromId);
     const target = this.members.get(String(message.argument));
--- a/packages/membership/src/test-support/membership-fleet.ts
+++ b/packages/membership/src/test-support/membership-fleet.ts
@@ -37,10 +37,14 @@
 export class MembershipFleet {
   readonly clock = pauseClock();
 
-  readonly network = new FakeNetwork(new SeededRandom(3));
+  readonly network: FakeNetwork;
 
   readonly nodes: FleetNode[] = [];
 
+  constructor(private readonly seed = 0) {
+    this.network = new FakeNetwork(new SeededRandom(seed + 3));
+  }
+
   /** Starts nodes 1 to `count` and advances the clock far enough for them to join. */
   async start(count: number): Promise<void> {
     for (let index = 1; index <= count; index++) await this.startNode(index);
@@ -67,7 +71,7 @@
     const membership = createMembership({
       self,
       logger: new SilentLogger(),
-      random: new SeededRandom(index + 100),
+      random: new SeededRandom(index + 100 + this.seed * 1000),
       links: this.network.links(self.address, self.id),
       socket: this.network.port(self.address),
       ownConfigVersion: () => 0,
