--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -139,7 +139,12 @@
   });
   const gossip = createdGossip;
   const prober = new Prober(
-    ...([members, gossip, suspicions, peerSelector, suspicionPolicy, random] as const),
+    members,
+    gossip,
+    suspicions,
+    peerSelector,
+    suspicionPolicy,
+    random,
     (peer) => createdJoiner?.syncWith(peer),
   );
   const rowSync = new RowSync(members, links, gossip.malformedItems);
