--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -171,7 +171,7 @@
       this.#resolveRefusal(answerKind);
       // A copy that names no request could be taken for the answer to the next one.
       const isKept = this.#isDelimited && protocol.namesRequest({ status, headers });
-      if (!isKept) controller.abort(new CallError('A refusal that names no request'));
+      if (!isKept) controller.abort(new CallError('The refusal names no request or has no length'));
       return;
     }
     this.#body = new BodyChannel(this);
--- a/packages/distribution/src/fault-table/head-under-drains.test.ts
+++ b/packages/distribution/src/fault-table/head-under-drains.test.ts
@@ -7,7 +7,7 @@
 
 const fleetSize = 30;
 const repeatedSeed = process.env.HEAD_SEED;
-/** Seeds with which five pushes without a repair leave out a node. */
+/** Seeds with which five pushes without a repair left out a node, each on some version of the code. */
 const provokingSeeds = [32, 44, 66, 87, 93, 129, 147, 164];
 const seeds = repeatedSeed
   ? [Number(repeatedSeed)]
