--- a/review/lib/mesh.js
+++ b/review/lib/mesh.js
@@ -7,6 +7,8 @@
 import { Store } from './store.js';
 
 const exitCode = { held: 0, broken: 1, notRun: 2 };
+/** Longest time of a script. */
+const runMaxMs = 110_000;
 
 const createRule = ({ name, kind, prefix, service, timeoutS = 0.6, attempts = 2 }) => ({
   name,
@@ -122,6 +124,13 @@
 export const runCase = async (caseUrl, play) => {
   const mesh = new Mesh(new URL('.', caseUrl).pathname);
   let code = exitCode.notRun;
+  const giveUp = (why) => {
+    mesh.note(`could not run: ${why}`);
+    mesh.writeRecord();
+    mesh.end().finally(() => process.exit(exitCode.notRun));
+  };
+  setTimeout(giveUp, runMaxMs, 'it took too long').unref();
+  for (const name of ['SIGTERM', 'SIGINT']) process.once(name, giveUp);
   try {
     await mesh.store.start();
     const verdict = await play(mesh, process.env.TROUBLE !== '0');
