--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule UNASKED was broken, 0 if it held, 2 if the case could not run.
+# The run is written to record.txt beside this file.
 cd "$(dirname "$0")/../.." || exit 2
 exec node review/1/case.js
