Remember the departure of a backend server across restarts of its node

What callers saw: about 270 requests, non-idempotent ones too, reached a server from 2 s after its deregistration was acknowledged until it ended (DRAIN); the one that ran when it ended was lost.

Cause: a node kept a deregistration only of the server that it knew, and a new process knows none before the first heartbeat; and what a process had acknowledged ended with the process. A late heartbeat then counted as the first of a new server.

--- a/packages/gate/src/local-server-tracker.test.ts
+++ b/packages/gate/src/local-server-tracker.test.ts
@@ -83,6 +83,22 @@
   );
 });
 
+test('a deregistration that precedes the first heartbeat is remembered', () => {
+  // Guards against a late heartbeat after a deregistration that a restarted node acknowledged.
+  const tracker = trackHeartbeats();
+  assert.equal(tracker.recordDeregistration({ instanceId: 'i-1', bornAtUnixMs: 1000 }), false);
+  assert.equal(tracker.recordHeartbeat(createHeartbeat(), 0), HeartbeatEffect.Ignored);
+  tracker.recordHeartbeat(createHeartbeat({ bornAtUnixMs: 1001 }), 0);
+  assert.equal(tracker.current()?.isLeaving, false);
+});
+
+test('a server that left a former process gets no new work', () => {
+  // Guards against a late heartbeat that a new process receives before it knows of the leaving.
+  const tracker = trackHeartbeats({});
+  assert.equal(tracker.recordDeparted({ instanceId: 'i-1', bornAtUnixMs: 1000 }), true);
+  assert.equal(tracker.current()?.isLeaving, true);
+});
+
 test('the deregistration of another server or a former incarnation is ignored', () => {
   // Guards against a late deregistration that removes a running server.
   const tracker = trackHeartbeats({ bornAtUnixMs: 2000 });
--- a/packages/gate/src/local-server-tracker.ts
+++ b/packages/gate/src/local-server-tracker.ts
@@ -1,7 +1,9 @@
+import { wallNowUnixMs } from '@sequoiafield/tables';
 import {
   BackendServerState,
   type BackendDeregistration,
   type BackendHeartbeat,
+  type DepartedServer,
 } from '@sequoiafield/types';
 
 /** Backend server beside this node, as it last announced itself. */
@@ -30,8 +32,8 @@
   Leaving = 'leaving',
 }
 
-/** Deregistered incarnations that are kept, so that their late heartbeats are ignored. */
-const deregisteredIncarnationsMax = 16;
+/** Departed servers that are kept, so that their late heartbeats are ignored. */
+const departedServersMax = 16;
 
 /**
  * Tracks the backend server beside this node by its heartbeats, which may be late, out of order, from
@@ -45,8 +47,10 @@
 export class LocalServerTracker {
   #server: LocalServer | undefined;
 
-  /** Start time of the last deregistered incarnation, by instance id. */
-  readonly #deregisteredBornAtUnixMs = new Map<string, number>();
+  /** Start time of the last incarnation that announced its leaving, by instance id. */
+  readonly #departedBornAtUnixMs = new Map<string, number>();
+
+  #lastDeparted: DepartedServer | undefined;
 
   constructor(private readonly endpoint: string) {}
 
@@ -56,15 +60,15 @@
   }
 
   recordHeartbeat(heartbeat: BackendHeartbeat, nowMs: number): HeartbeatEffect {
-    if (heartbeat.endpoint !== this.endpoint || this.#isDeregistered(heartbeat)) {
-      return HeartbeatEffect.Ignored;
-    }
+    if (heartbeat.endpoint !== this.endpoint) return HeartbeatEffect.Ignored;
+    if (heartbeat.state === BackendServerState.Draining) this.#keepDeparted(heartbeat);
     const known = this.#server;
     if (known?.heartbeat.instanceId === heartbeat.instanceId) {
       const { bornAtUnixMs } = known.heartbeat;
       if (heartbeat.bornAtUnixMs === bornAtUnixMs)
         return this.#continueIncarnation(known, heartbeat, nowMs);
     }
+    if (this.#isDeparted(heartbeat)) return HeartbeatEffect.Ignored;
     if (known && heartbeat.bornAtUnixMs <= known.heartbeat.bornAtUnixMs) {
       return HeartbeatEffect.Ignored;
     }
@@ -72,24 +76,48 @@
     return HeartbeatEffect.Replaced;
   }
 
-  /** Records a deregistration; returns whether it belongs to the known server. */
-  recordDeregistration(deregistration: BackendDeregistration): boolean {
+  /**
+   * Records a deregistration, also of a server that this process does not know, since its
+   * acknowledgement binds all the same. Returns whether it belongs to the known server.
+   */
+  recordDeregistration({ instanceId, bornAtUnixMs }: BackendDeregistration): boolean {
     const known = this.#server?.heartbeat;
-    if (known?.instanceId !== deregistration.instanceId) return false;
-    const bornAtUnixMs = deregistration.bornAtUnixMs ?? known.bornAtUnixMs;
-    if (bornAtUnixMs < known.bornAtUnixMs) return false;
-    this.#deregisteredBornAtUnixMs.set(deregistration.instanceId, bornAtUnixMs);
-    if (this.#deregisteredBornAtUnixMs.size > deregisteredIncarnationsMax) {
-      this.#deregisteredBornAtUnixMs.delete(
-        this.#deregisteredBornAtUnixMs.keys().next().value as string,
-      );
-    }
-    this.#server = undefined;
+    const isSameId = known?.instanceId === instanceId;
+    const departedBornAtUnixMs = bornAtUnixMs ?? (isSameId ? known.bornAtUnixMs : wallNowUnixMs());
+    this.#keepDeparted({ instanceId, bornAtUnixMs: departedBornAtUnixMs });
+    const isKnown = isSameId && departedBornAtUnixMs >= known.bornAtUnixMs;
+    if (isKnown) this.#server = undefined;
+    return isKnown;
+  }
+
+  /** Records a server that left a former process of this node; returns whether it is the known one. */
+  recordDeparted(departed: DepartedServer): boolean {
+    this.#keepDeparted(departed);
+    const known = this.#server;
+    if (!known || !this.#isDeparted(known.heartbeat)) return false;
+    this.#server = { ...known, isLeaving: true };
     return true;
   }
 
-  #isDeregistered({ instanceId, bornAtUnixMs }: BackendHeartbeat): boolean {
-    return bornAtUnixMs <= (this.#deregisteredBornAtUnixMs.get(instanceId) ?? -1);
+  /** Returns the server that announced its leaving last, or undefined if none did. */
+  lastDeparted(): DepartedServer | undefined {
+    return this.#lastDeparted;
+  }
+
+  #isDeparted({ instanceId, bornAtUnixMs }: DepartedServer): boolean {
+    return bornAtUnixMs <= (this.#departedBornAtUnixMs.get(instanceId) ?? -1);
+  }
+
+  #keepDeparted(departed: DepartedServer): void {
+    if (this.#isDeparted(departed)) return;
+    const { instanceId, bornAtUnixMs } = departed;
+    this.#lastDeparted = { instanceId, bornAtUnixMs };
+    this.#departedBornAtUnixMs.delete(instanceId);
+    this.#departedBornAtUnixMs.set(instanceId, bornAtUnixMs);
+    if (this.#departedBornAtUnixMs.size > departedServersMax) {
+      const oldestId = this.#departedBornAtUnixMs.keys().next().value as string;
+      this.#departedBornAtUnixMs.delete(oldestId);
+    }
   }
 
   #continueIncarnation(
--- a/packages/membership/src/gossip-row.ts
+++ b/packages/membership/src/gossip-row.ts
@@ -1,4 +1,4 @@
-import { MemberState, type MemberRow } from '@sequoiafield/types';
+import { MemberState, type DepartedServer, type MemberRow } from '@sequoiafield/types';
 
 /** Row of the members table with the fields that only gossip uses. */
 export interface GossipRow extends MemberRow {
@@ -13,11 +13,29 @@
   service: string;
   backendVersion: string;
   serverRevision: number;
+  /** Latest backend server that left this member, in any of its incarnations; undefined if none did. */
+  departedServer?: DepartedServer | undefined;
 }
 
 /** Whether a member in this state may still run work. */
 export const isLiveState = (state: MemberState): boolean => state < MemberState.Left;
 
+/**
+ * Returns the server that started later, so that nodes which merge in any order agree.
+ *
+ * @example
+ * row.departedServer = latestDeparted(row.departedServer, received.departedServer);
+ */
+export const latestDeparted = (
+  left: DepartedServer | undefined,
+  right: DepartedServer | undefined,
+): DepartedServer | undefined => {
+  if (!left || !right) return left ?? right;
+  if (left.bornAtUnixMs !== right.bornAtUnixMs)
+    return left.bornAtUnixMs > right.bornAtUnixMs ? left : right;
+  return right.instanceId > left.instanceId ? right : left;
+};
+
 interface Precedence {
   readonly announcedIncarnation: number;
   readonly incarnation: number;
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -4,12 +4,13 @@
 import { ByteBudget } from './byte-budget.js';
 import { createMembershipCounters } from './counters.js';
 import type { DatagramSocket } from './datagram-socket.js';
-import type { GossipRow } from './gossip-row.js';
-import type { KnownMemberState, MembersTable } from './members-table.js';
+import { latestDeparted, type GossipRow } from './gossip-row.js';
+import type { MembersTable } from './members-table.js';
 import type { GossipPeerSelector } from './gossip-peer-selector.js';
 import type { SpreadPolicy } from './policies.js';
 import { MalformedItemLog } from './malformed-item-log.js';
 import { PushQueue } from './push-queue.js';
+import { Refuter } from './refuter.js';
 import { RegisterRepair } from './register-repair.js';
 import type { RegisterTable } from './register-table.js';
 import { itemOverheadBytes, RumourQueue } from './rumour-queue.js';
@@ -53,13 +54,6 @@
  */
 const quietSendsMax = 4;
 
-/**
- * Maximum number of times that one process raises its announced incarnation. Outranking a former
- * incarnation takes one or two; without a limit, two running processes with the same id would outrank
- * each other endlessly.
- */
-const announcedRaisesMax = 8;
-
 /** Dependencies of `Gossip`. */
 export interface GossipDependencies {
   readonly members: MembersTable;
@@ -96,18 +90,19 @@
 
   readonly #pushQueue = new PushQueue();
 
-  #announcedRaises = 0;
-
   #lastPushAtMs = Number.NEGATIVE_INFINITY;
 
   readonly #repair: RegisterRepair;
 
+  readonly #refuter: Refuter;
+
   constructor(private readonly dependencies: GossipDependencies) {
     this.malformedItems = new MalformedItemLog(this.counters, dependencies.logger);
     this.#repair = new RegisterRepair(dependencies, {
       hasBytesLeft: () => this.#budget.hasBytesLeft(),
       send: (type, to, options) => this.send(type, to, options),
     });
+    this.#refuter = new Refuter(dependencies.members, this);
     this.on(GossipMessageType.RegisterSummary, (message) => this.#repair.answerSummary(message));
     dependencies.socket.onMessage((bytes) => this.#receive(bytes));
   }
@@ -159,6 +154,17 @@
     this.#spread(`row ${row.id}`, encodeRow(row), isUrgent);
   }
 
+  /**
+   * Spreads the own row after the backend server left. The first pushes wait neither for the next batch
+   * nor for the byte budget, since the leaving is acknowledged next and binds a later process.
+   */
+  spreadDeparture(): void {
+    const row = this.ownRow();
+    const bytes = encodeRow(row);
+    this.#rumourQueue.put(`row ${row.id}`, bytes);
+    this.#push([bytes]);
+  }
+
   /**
    * Spreads the state of a member. Suspicion, refutation, draining and leaving are urgent. The change
    * from joining to alive is not, since a mass restart would exhaust the byte budget.
@@ -182,35 +188,6 @@
     this.#push([bytes]);
   }
 
-  /** Raises the own refutation or announced incarnation above a received state and spreads it. */
-  refute(received: KnownMemberState): void {
-    const own = this.ownRow();
-    if (received.incarnation !== own.incarnation) {
-      this.#outrankFormerIncarnation(received);
-      return;
-    }
-    const isSuspicion =
-      received.state === MemberState.Suspect || received.state === MemberState.Dead;
-    if (!isSuspicion) return;
-    if (received.refutation < own.refutation || own.state === MemberState.Left) return;
-    own.refutation = received.refutation + 1;
-    this.spreadState(own, own.state);
-  }
-
-  /**
-   * Raises the announced incarnation above that of an earlier process with this id whose clock was
-   * ahead; otherwise the other nodes ignore this process. Only the announced value is raised: calls
-   * still name the start time, which no other incarnation shares.
-   */
-  #outrankFormerIncarnation(received: KnownMemberState): void {
-    const own = this.ownRow();
-    if (received.announcedIncarnation < own.announcedIncarnation) return;
-    if (own.state === MemberState.Left || this.#announcedRaises >= announcedRaisesMax) return;
-    this.#announcedRaises += 1;
-    this.dependencies.members.raiseOwnIncarnation(received.announcedIncarnation + 1);
-    this.spreadRow(own, true);
-  }
-
   #spread(key: string, bytes: Uint8Array, isUrgent: boolean): void {
     this.#rumourQueue.put(key, bytes, isUrgent ? undefined : quietSendsMax);
     if (!isUrgent || this.dependencies.spreadPolicy.pushFanOut === 0) return;
@@ -282,13 +259,15 @@
   #applyRow(row: GossipRow, fromId: string): void {
     const { members } = this.dependencies;
     if (row.id === members.selfId) {
-      this.refute(row);
+      members.mergeOwn(row);
+      this.#refuter.refute(row);
       return;
     }
     const previousIncarnation = members.get(row.id)?.incarnation;
     const previousServerRevision = members.get(row.id)?.serverRevision;
     const hasChanged = members.merge(row);
     if (!hasChanged && row.id === fromId) this.#sendOtherIncarnation(row);
+    if (row.id === fromId) this.#sendDepartedServer(row);
     if (!hasChanged) return;
     const current = members.get(row.id);
     if (!current) return;
@@ -315,10 +294,18 @@
     this.send(GossipMessageType.Push, row, { items: [encodeStateRumour(rumour)] });
   }
 
+  /** Tells a process which server left its former process, if it does not know that. */
+  #sendDepartedServer(row: GossipRow): void {
+    const known = this.dependencies.members.get(row.id);
+    if (!known || latestDeparted(row.departedServer, known.departedServer) === row.departedServer)
+      return;
+    this.send(GossipMessageType.Push, row, { items: [encodeRow(known)] });
+  }
+
   #applyState(rumour: StateRumour): void {
     const { members, suspicions } = this.dependencies;
     if (rumour.id === members.selfId) {
-      this.refute(rumour);
+      this.#refuter.refute(rumour);
       return;
     }
     const known = members.knownState(rumour.id);
--- a/packages/membership/src/members-table.ts
+++ b/packages/membership/src/members-table.ts
@@ -1,6 +1,6 @@
 import { Table, monotonicNowMs } from '@sequoiafield/tables';
 import { MemberState, type MemberRow, type MemberView } from '@sequoiafield/types';
-import { comparePrecedence, isLiveState, type GossipRow } from './gossip-row.js';
+import { comparePrecedence, isLiveState, latestDeparted, type GossipRow } from './gossip-row.js';
 import { hashText32 } from './hash.js';
 
 /** State that a node knows of a member, without its addresses. */
@@ -139,7 +139,8 @@
   #mergeKnown(known: GossipRow, received: GossipRow): boolean {
     const row = known;
     if (received.configVersion > row.configVersion) row.configVersion = received.configVersion;
-    const hasServerChanged = this.#mergeBackendServer(row, received);
+    const hasDeparted = this.#mergeDepartedServer(row, received);
+    const hasServerChanged = this.#mergeBackendServer(row, received) || hasDeparted;
     if (comparePrecedence(received, known) <= 0) return hasServerChanged;
     const differsOnlyInState =
       received.announcedIncarnation === known.announcedIncarnation &&
@@ -156,6 +157,7 @@
         ...received,
         state,
         configVersion: row.configVersion,
+        departedServer: row.departedServer,
         stateChangedAtMs: monotonicNowMs(),
       });
       return true;
@@ -173,6 +175,24 @@
     return true;
   }
 
+  /** Merges the departed server, which binds every later incarnation of the node as well. */
+  #mergeDepartedServer(row: GossipRow, received: GossipRow): boolean {
+    const departed = latestDeparted(row.departedServer, received.departedServer);
+    if (departed === row.departedServer) return false;
+    const changed = row;
+    changed.departedServer = departed;
+    this.rows.touch();
+    return true;
+  }
+
+  /**
+   * Merges what another node knows of the own row: the server that left a former process. Returns
+   * whether anything changed.
+   */
+  mergeOwn(received: GossipRow): boolean {
+    return this.#mergeDepartedServer(this.self, received);
+  }
+
   /** Changes the backend server of a row and updates the index by service. */
   setBackendServer(
     row: GossipRow,
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -2,6 +2,7 @@
 import type { RandomSource, System } from '@sequoiafield/tables';
 import {
   MemberState,
+  type DepartedServer,
   type DirectMessenger,
   type FleetQuery,
   type LinkRequester,
@@ -14,6 +15,7 @@
 import type { DatagramSocket } from './datagram-socket.js';
 import { TreeFleetQuery } from './tree-fleet-query.js';
 import { Gossip } from './gossip.js';
+import { latestDeparted } from './gossip-row.js';
 import { Joiner, type SeedAddress } from './joiner.js';
 import { MembersTable } from './members-table.js';
 import { GossipMessenger } from './gossip-messenger.js';
@@ -67,8 +69,19 @@
   /** Cancels a drain; the node is announced as alive again once it is ready. */
   announceDrainCancelled(): void;
   announceLeft(): void;
-  /** Announces the backend server beside this node; both texts are empty while none takes new work. */
-  announceBackendServer(service: string, backendVersion: string): void;
+  /**
+   * Announces the backend server beside this node; both texts are empty while none takes new work.
+   * The other members keep the departed server for a later process of this node.
+   */
+  announceBackendServer(
+    service: string,
+    backendVersion: string,
+    departedServer?: DepartedServer,
+  ): void;
+  /** Resolves once the announcements so far were handed to the network. */
+  flush(): Promise<void>;
+  /** Returns the latest backend server that left this node, also one that left a former process. */
+  departedServer(): DepartedServer | undefined;
   /** Sends the active configuration version of this node to its witnesses. */
   announceConfigVersion(): void;
   /**
@@ -117,6 +130,7 @@
     refutation: 0,
     announcedIncarnation: options.self.incarnation,
     serverRevision: 0,
+    departedServer: undefined as DepartedServer | undefined,
   };
   const members = new MembersTable(self);
   const peerSelector = new GossipPeerSelector(members, random);
@@ -176,12 +190,19 @@
       members.setState(self, MemberState.Joining);
     },
     announceLeft: () => announce(MemberState.Left),
-    announceBackendServer: (service, backendVersion) => {
-      if (self.service === service && self.backendVersion === backendVersion) return;
+    announceBackendServer: (service, backendVersion, departedServer) => {
+      const departed = latestDeparted(self.departedServer, departedServer);
+      const isSameServer = self.service === service && self.backendVersion === backendVersion;
+      if (isSameServer && departed === self.departedServer) return;
+      const hasDeparted = departed !== self.departedServer;
       const serverRevision = self.serverRevision + 1;
+      self.departedServer = departed;
       members.setBackendServer(self, { service, backendVersion, serverRevision });
-      gossip.spreadRow(gossip.ownRow(), true);
+      if (hasDeparted) gossip.spreadDeparture();
+      else gossip.spreadRow(gossip.ownRow(), true);
     },
+    flush: () => socket.flush?.() ?? Promise.resolve(),
+    departedServer: () => self.departedServer,
     announceConfigVersion: () => {
       for (const witness of peerSelector.pickVersionWitnesses(witnessCount)) {
         gossip.send(GossipMessageType.Push, witness, { items: [encodeRow(gossip.ownRow())] });
--- a/packages/membership/src/properties.test.ts
+++ b/packages/membership/src/properties.test.ts
@@ -18,6 +18,7 @@
   refutation: number,
   state: MemberState,
   announcedOffset = 0,
+  departedBornAtUnixMs = 0,
 ): GossipRow => ({
   id,
   incarnation,
@@ -35,6 +36,12 @@
   service: `service-${incarnation % 2}`,
   backendVersion: 'v1',
   stateChangedAtMs: 0,
+  ...(departedBornAtUnixMs > 0 && {
+    departedServer: {
+      instanceId: `i-${departedBornAtUnixMs % 3}`,
+      bornAtUnixMs: departedBornAtUnixMs,
+    },
+  }),
 });
 
 const rowArbitrary = fc
@@ -45,6 +52,7 @@
     // Each node concludes suspicion and death itself from the messages that it received.
     fc.constantFrom(MemberState.Joining, MemberState.Alive, MemberState.Draining, MemberState.Left),
     fc.integer({ min: 0, max: 2 }),
+    fc.integer({ min: 0, max: 4 }),
   )
   .map((fields) => makeRow(...fields));
 
@@ -56,13 +64,9 @@
 
 const contentOf = (table: MembersTable): unknown =>
   [...table.rows.rows()]
-    .map(({ id, announcedIncarnation, incarnation, refutation, state, configVersion }) => [
-      id,
-      announcedIncarnation,
-      incarnation,
-      refutation,
-      state,
-      configVersion,
+    .map((row) => [
+      ...[row.id, row.announcedIncarnation, row.incarnation, row.refutation, row.state],
+      ...[row.configVersion, row.departedServer?.bornAtUnixMs],
     ])
     .sort();
 
--- a/packages/membership/src/row-sync.ts
+++ b/packages/membership/src/row-sync.ts
@@ -29,10 +29,14 @@
 const digestState = (state: MemberState): MemberState =>
   state === MemberState.Draining || state === MemberState.Left ? state : MemberState.Alive;
 
+/** Empty for a row without a departed server, as in versions that do not know the field. */
+const departedHashText = ({ departedServer }: GossipRow): string =>
+  departedServer ? ` ${departedServer.instanceId} ${departedServer.bornAtUnixMs}` : '';
+
 const rowHash = (row: GossipRow): number =>
   hashText32(
     `${row.id} ${row.announcedIncarnation} ${row.incarnation} ${row.refutation} ` +
-      `${row.serverRevision} ${digestState(row.state)}`,
+      `${row.serverRevision} ${digestState(row.state)}${departedHashText(row)}`,
   );
 
 const asIntegers = (value: unknown): readonly number[] => {
@@ -100,7 +104,9 @@
       );
     }
     const rows = answer.rows.flatMap((tuple) => this.#readRow(tuple, peer.id));
-    const merged = rows.filter((row) => this.members.merge(row));
+    const merged = rows.filter((row) =>
+      row.id === this.members.selfId ? this.members.mergeOwn(row) : this.members.merge(row),
+    );
     return { merged: merged.length, coveredBuckets: Math.max(1, answer.coveredBuckets ?? 1) };
   }
 
--- a/packages/membership/src/udp-socket.ts
+++ b/packages/membership/src/udp-socket.ts
@@ -17,6 +17,8 @@
 
   #isClosed = false;
 
+  #lastSend = Promise.resolve();
+
   /** Resolves with the bound port; rejects with `MembershipError` if the address is in use. */
   bind(port: number, address: string): Promise<number> {
     return new Promise((resolve, reject) => {
@@ -34,7 +36,15 @@
   }
 
   send(bytes: Uint8Array, port: number, address: string): void {
-    if (!this.#isClosed) this.#socket.send(bytes, port, address, () => undefined);
+    if (this.#isClosed) return;
+    this.#lastSend = new Promise((resolve) => {
+      this.#socket.send(bytes, port, address, () => resolve());
+    });
+  }
+
+  /** Resolves once the datagrams sent so far were handed to the system, which sends them in order. */
+  flush(): Promise<void> {
+    return this.#lastSend;
   }
 
   onMessage(handler: (bytes: Uint8Array) => void): void {
--- a/packages/membership/src/wire.ts
+++ b/packages/membership/src/wire.ts
@@ -74,9 +74,10 @@
   dataCentre: string,
   service: string,
   backendVersion: string,
-  /** Announced incarnation minus incarnation; omitted together with the next element if both are 0. */
+  /** Announced incarnation minus incarnation; trailing elements without content are omitted. */
   announcedOffset?: number,
   serverRevision?: number,
+  departedServer?: readonly [instanceId: string, bornAtUnixMs: number],
 ];
 
 const packr = new Packr({ useRecords: false });
@@ -98,11 +99,11 @@
 
 const rowRequiredElementsCount = 13;
 
-/** Checks a row, whose last two elements are optional. */
+/** Checks a row, whose last three elements are optional. */
 const asRowTuple = (value: unknown): readonly unknown[] =>
   Array.isArray(value) &&
   value.length >= rowRequiredElementsCount &&
-  value.length <= rowRequiredElementsCount + 2
+  value.length <= rowRequiredElementsCount + 3
     ? value
     : throwMalformed('row');
 
@@ -136,6 +137,29 @@
   asNonNegativeNumber(incarnation, 'incarnation') +
   asNonNegativeNumber(announcedOffset ?? 0, 'announced incarnation offset');
 
+const encodeOptionalElements = (row: GossipRow): [number?, number?, [string, number]?] => {
+  const announcedOffset = row.announcedIncarnation - row.incarnation;
+  const { departedServer, serverRevision } = row;
+  if (departedServer) {
+    const { instanceId, bornAtUnixMs } = departedServer;
+    return [announcedOffset, serverRevision, [instanceId, bornAtUnixMs]];
+  }
+  if (serverRevision > 0) return [announcedOffset, serverRevision];
+  return encodeAnnouncedOffset(row) as [number?];
+};
+
+/** Decodes the departed server of a row, if the row has one. */
+const decodeDepartedServer = (value: unknown): Pick<GossipRow, 'departedServer'> => {
+  if (value === undefined) return {};
+  const [instanceId, bornAtUnixMs] = asArray(value, 2, 'departed server');
+  return {
+    departedServer: {
+      instanceId: asText(instanceId, 'departed server'),
+      bornAtUnixMs: asNonNegativeNumber(bornAtUnixMs, 'start of the departed server'),
+    },
+  };
+};
+
 /** Returns the elements of a row in wire order. */
 export const rowToTuple = (row: GossipRow): RowTuple => [
   row.id,
@@ -151,9 +175,7 @@
   row.dataCentre,
   row.service,
   row.backendVersion,
-  ...((row.serverRevision > 0
-    ? [row.announcedIncarnation - row.incarnation, row.serverRevision]
-    : encodeAnnouncedOffset(row)) as [number?, number?]),
+  ...encodeOptionalElements(row),
 ];
 
 /** Checks and converts a row received from another node; throws `MembershipError`. */
@@ -175,6 +197,7 @@
     backendVersion: asText(tuple[12], 'backendVersion'),
     announcedIncarnation: decodeAnnouncedIncarnation(tuple[1], tuple[13]),
     serverRevision: asNonNegativeNumber(tuple[14] ?? 0, 'server revision'),
+    ...decodeDepartedServer(tuple[15]),
     stateChangedAtMs: 0,
   };
 };
--- a/packages/mesh-node/src/heartbeat-monitor.ts
+++ b/packages/mesh-node/src/heartbeat-monitor.ts
@@ -2,7 +2,10 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
 import type { Membership } from '@sequoiafield/membership';
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
-import type { BackendDeregistration, BackendHeartbeat } from '@sequoiafield/types';
+import type { BackendDeregistration, BackendHeartbeat, DepartedServer } from '@sequoiafield/types';
+
+/** What a node announces while no backend server beside it takes new work. */
+const noServer = { service: '', version: '' };
 
 /**
  * Processes the announcements of the backend server beside this node, and announces to the fleet
@@ -13,6 +16,8 @@
 
   #wasSilent = false;
 
+  #appliedDeparted: DepartedServer | undefined;
+
   constructor(
     private readonly serverTracker: LocalServerTracker,
     private readonly gate: ServerGate,
@@ -43,6 +48,7 @@
   }
 
   run(): void {
+    this.#syncDeparted();
     const server = this.serverTracker.current();
     const isSilent = server !== undefined && this.gate.isSilent(server, monotonicNowMs());
     if (isSilent && !this.#wasSilent) {
@@ -51,9 +57,17 @@
     }
     this.#wasSilent = isSilent;
     const isServing = server !== undefined && !server.isLeaving && !isSilent;
-    if (isServing) {
-      this.membership.announceBackendServer(server.heartbeat.service, server.heartbeat.version);
-    } else this.membership.announceBackendServer('', '');
+    const { service, version } = isServing ? server.heartbeat : noServer;
+    this.membership.announceBackendServer(service, version, this.serverTracker.lastDeparted());
+  }
+
+  /** Applies the departure of a server that only a former process of this node received. */
+  #syncDeparted(): void {
+    const departed = this.membership.departedServer();
+    if (!departed || departed === this.#appliedDeparted) return;
+    this.#appliedDeparted = departed;
+    const isKnown = this.serverTracker.recordDeparted(departed);
+    this.logger.log(logEvents.backendServerLeaving, { ...departed, isKnown });
   }
 
   #applyServerState(): void {
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -75,14 +75,19 @@
     );
   }
 
-  /** Processes a heartbeat of the backend server; it takes effect before this method returns. */
-  receiveHeartbeat(heartbeat: BackendHeartbeat): void {
+  /**
+   * Processes a heartbeat of the backend server, which takes effect at once. Resolves when it may be
+   * acknowledged: the leaving of a server was sent to peers, which keep it for a later process.
+   */
+  receiveHeartbeat(heartbeat: BackendHeartbeat): Promise<void> {
     this.#components.heartbeatMonitor.receiveHeartbeat(heartbeat);
+    return this.#components.membership.flush();
   }
 
-  /** Processes the deregistration of the backend server. */
-  receiveDeregistration(deregistration: BackendDeregistration): void {
+  /** Processes the deregistration of the backend server; resolves when it may be acknowledged. */
+  receiveDeregistration(deregistration: BackendDeregistration): Promise<void> {
     this.#components.heartbeatMonitor.receiveDeregistration(deregistration);
+    return this.#components.membership.flush();
   }
 
   /**
--- a/packages/types/src/members.ts
+++ b/packages/types/src/members.ts
@@ -27,6 +27,13 @@
   readonly serverRevision?: number;
 }
 
+/** Incarnation of a backend server that announced its leaving; it never gets new work again. */
+export interface DepartedServer {
+  readonly instanceId: string;
+  /** Start of the server, Unix ms. */
+  readonly bornAtUnixMs: number;
+}
+
 /** Row of the members table. */
 export interface MemberRow extends MemberAnnouncement {
   state: MemberState;
