Take the established version of a service from its moves, not from the number of its servers

Cause: the version with the most servers, apart from the ordered one, counted as the version that served before, and nothing remembered a rollback once the next order had replaced the one that it belonged to.

Why this works: the established version changes only with a completed move. Judges announce it with the register of a move (or of rank 0 without one), the stored record names it, and counting is left for a service of which nothing is known. A version that a move named is unproven until a move to it completes.

--- a/packages/moves/src/move-judge.ts
+++ b/packages/moves/src/move-judge.ts
@@ -10,6 +10,7 @@
 } from '@sequoiafield/types';
 import type { ServerEvidence } from './server-evidence.js';
 import { ServerEvidenceTable } from './server-evidence-table.js';
+import type { StageRegisterBody } from './established-versions.js';
 import type { JudgeSelector } from './judge-selector.js';
 import { MoveRecorder, type MoveRecorderDependencies } from './move-recorder.js';
 import {
@@ -31,6 +32,8 @@
 const drainMinMs = 1200;
 /** Longest time at the last stage to wait for calls on old servers; their timeouts are shorter. */
 const drainMaxMs = 4000;
+/** Interval at which services without a move are checked for a version to announce. */
+const establishedCheckIntervalMs = 5000;
 /** Delay of each judge's write after the judge before it, so that normally only one writes. */
 const writeDelayMs = 600;
 
@@ -74,6 +77,8 @@
 
   readonly #moves = new Map<string, JudgedMove>();
 
+  #nextEstablishedCheckAtMs = 0;
+
   constructor(private readonly dependencies: MoveJudgeDependencies) {}
 
   addEvidence(nodeId: string, evidence: ServerEvidence): void {
@@ -81,6 +86,7 @@
   }
 
   run(tick: Tick): void {
+    this.#announceEstablished(tick.nowMs);
     for (const order of this.dependencies.orders.current().moves.values()) {
       const move = this.#moveOf(order, tick.nowMs);
       const judgeRank = this.dependencies.judges
@@ -90,6 +96,27 @@
     }
   }
 
+  /**
+   * Announces the version of each service that serves alone and that no move has announced, so that a
+   * node that starts while two versions are there knows which of them is established.
+   */
+  #announceEstablished(nowMs: number): void {
+    const { orders, registers, judges, policy, selfId } = this.dependencies;
+    if (nowMs < this.#nextEstablishedCheckAtMs) return;
+    const isFirst = this.#nextEstablishedCheckAtMs === 0;
+    this.#nextEstablishedCheckAtMs = nowMs + establishedCheckIntervalMs;
+    const { configuration, moves } = orders.current();
+    if (isFirst || !configuration) return;
+    for (const service of configuration.services.keys()) {
+      if (moves.has(service) || registers.read(RegisterKind.Stage, service)) continue;
+      if (!judges.judgesOf(service).includes(selfId)) continue;
+      const [version, ...others] = policy.serverCounts(service).keys();
+      if (version === undefined || others.length > 0) continue;
+      const body: StageRegisterBody = { establishedVersion: version };
+      registers.publish({ kind: RegisterKind.Stage, key: service, rank: 0, body });
+    }
+  }
+
   #moveOf(order: MoveOrder, nowMs: number): JudgedMove {
     const known = this.#moves.get(order.service);
     if (known?.order.revision === order.revision) return known;
@@ -120,6 +147,7 @@
       this.#recordByRank(move, progress.outcome, judgeRank, nowMs);
       return;
     }
+    if (progress.stage === 0) this.#publish(order, 0);
     this.#recordByRank(move, MoveOutcome.Running, judgeRank, nowMs);
     if (progress.stage !== move.stage) {
       const changed = move;
@@ -136,7 +164,10 @@
   #judgementOf(move: JudgedMove, nowMs: number): Judgement {
     const isNew = (version: string): boolean => version === move.order.toVersion;
     const candidate = move.evidenceTable.countsOf(isNew);
-    const old = move.evidenceTable.countsOf((version) => !isNew(version));
+    const established = this.dependencies.policy.establishedVersion(move.order.service);
+    const old = move.evidenceTable.countsOf((version) =>
+      established === undefined ? !isNew(version) : version === established,
+    );
     const changed = move;
     changed.samples = move.samples.filter(({ atMs }) => atMs > nowMs - 2 * recentWindowMs);
     changed.samples.push({ atMs: nowMs, old, candidate });
@@ -157,7 +188,7 @@
       stage: move.stage,
     });
     this.#publish(move.order, rolledBackStep);
-    move.recorder.record(MoveOutcome.RolledBack);
+    this.#record(move, MoveOutcome.RolledBack);
   }
 
   #advance(move: JudgedMove, judgeRank: number, nowMs: number): void {
@@ -197,15 +228,25 @@
       return;
     }
     changed.outcomeSinceMs ??= nowMs;
-    if (nowMs - changed.outcomeSinceMs >= judgeRank * writeDelayMs) move.recorder.record(outcome);
+    if (nowMs - changed.outcomeSinceMs >= judgeRank * writeDelayMs) this.#record(move, outcome);
+  }
+
+  #record({ order, recorder }: JudgedMove, outcome: MoveOutcome): void {
+    recorder.record(outcome, this.dependencies.policy.establishedVersion(order.service));
   }
 
   #publish(order: MoveOrder, step: number): void {
+    const establishedVersion =
+      step === completedStep
+        ? order.toVersion
+        : this.dependencies.policy.establishedVersion(order.service);
+    const body: StageRegisterBody | null =
+      establishedVersion === undefined ? null : { establishedVersion };
     this.dependencies.registers.publish({
       kind: RegisterKind.Stage,
       key: order.service,
       rank: registerRankOf(order.revision, step),
-      body: null,
+      body,
     });
   }
 }
--- a/packages/moves/src/move-recorder.ts
+++ b/packages/moves/src/move-recorder.ts
@@ -6,7 +6,7 @@
 /** Encodes and decodes the platform's record of a move's outcome. */
 export interface MoveRecordCodec {
   keyOf(service: string): string;
-  encode(record: Pick<MoveRecord, 'service' | 'toVersion' | 'outcome'>): Uint8Array;
+  encode(record: Omit<MoveRecord, 'revision'>): Uint8Array;
   /** Decodes a stored item; undefined if it is malformed. */
   decode(item: StoreItem): MoveRecord | undefined;
 }
@@ -53,13 +53,13 @@
    * Starts to write an outcome unless it is stored already, the stored one is final, a write is
    * running, or the delay after a failed write has not passed.
    */
-  record(outcome: MoveOutcome): void {
+  record(outcome: MoveOutcome, fromVersion?: string): void {
     const isFinal =
       this.#storedOutcome !== undefined && this.#storedOutcome !== MoveOutcome.Running;
     if (isFinal || this.#storedOutcome === outcome) return;
     if (this.#isBusy || monotonicNowMs() < this.#nextAtMs) return;
     this.#isBusy = true;
-    this.#write(outcome)
+    this.#write(outcome, fromVersion)
       .catch((error: unknown) => {
         const { service, toVersion } = this.order;
         const fields = { service, toVersion, outcome, error: String(error) };
@@ -71,11 +71,11 @@
       });
   }
 
-  async #write(outcome: MoveOutcome): Promise<void> {
+  async #write(outcome: MoveOutcome, fromVersion: string | undefined): Promise<void> {
     const { store, codec, logger } = this.dependencies;
     const { service, toVersion } = this.order;
     const key = codec.keyOf(service);
-    const value = codec.encode({ service, toVersion, outcome });
+    const value = codec.encode({ service, toVersion, outcome, fromVersion });
     const result = await store.writeIf([{ key, revision: this.#revision }], [{ key, value }]);
     if (result.kind === 'written') {
       this.#revision = result.revision;
--- a/packages/moves/src/move-stages.ts
+++ b/packages/moves/src/move-stages.ts
@@ -36,6 +36,9 @@
 export const registerRankOf = (orderRevision: number, step: number): number =>
   orderRevision * stepsPerOrder + step;
 
+/** Revision of the order to which the rank of a register belongs. */
+export const orderRevisionOf = (rank: number): number => Math.floor(rank / stepsPerOrder);
+
 /** Step of an order by the rank of its register; undefined if the rank belongs to another order. */
 export const registerStepOf = (orderRevision: number, rank: number): number | undefined => {
   const step = rank - orderRevision * stepsPerOrder;
--- a/packages/moves/src/version-policy.ts
+++ b/packages/moves/src/version-policy.ts
@@ -7,6 +7,7 @@
   type OrdersView,
   type RegisterGossip,
 } from '@sequoiafield/types';
+import { EstablishedVersions, isRecordOf } from './established-versions.js';
 import { completedStep, moveStages, rolledBackStep, registerStepOf } from './move-stages.js';
 
 /** Dependencies of a version policy. */
@@ -30,15 +31,16 @@
  * besides the established one without an order gets no calls, since its order may not be received yet.
  */
 export class VersionPolicy {
-  /** Version that last served without an order or completed a move, by service. */
-  readonly #established = new Map<string, string>();
+  readonly #established: EstablishedVersions;
 
-  constructor(private readonly dependencies: VersionPolicyDependencies) {}
+  constructor(private readonly dependencies: VersionPolicyDependencies) {
+    this.#established = new EstablishedVersions(dependencies);
+  }
 
   /** Progress of an order by its stored record, or by its register until the record is final. */
   progressOf(order: MoveOrder): MoveProgress {
     const record = this.dependencies.orders.current().moveRecords.get(order.service);
-    const isForOrder = record?.toVersion === order.toVersion && record.revision > order.revision;
+    const isForOrder = record !== undefined && isRecordOf(record, order);
     if (isForOrder && record.outcome !== MoveOutcome.Running) return this.#ended(record.outcome);
     const rank = this.dependencies.registers.read(RegisterKind.Stage, order.service)?.rank ?? 0;
     const step = registerStepOf(order.revision, rank) ?? 0;
@@ -50,7 +52,7 @@
 
   /** Chooses a new call's version; `roll` is uniform in [0, 1), and 1 yields the old version. */
   choose(service: string, roll: number): string | undefined {
-    const counts = this.#serverCounts(service);
+    const counts = this.serverCounts(service);
     const order = this.dependencies.orders.current().moves.get(service);
     const progress = order && this.progressOf(order);
     const old = this.#oldVersion(service, counts, order, progress);
@@ -63,25 +65,19 @@
   /** True if a version may get new calls. */
   isAllowed(service: string, version: string): boolean {
     const order = this.dependencies.orders.current().moves.get(service);
-    const old = this.#oldVersion(
-      service,
-      this.#serverCounts(service),
-      order,
-      order && this.progressOf(order),
-    );
-    if (!order) return version === old;
-    const { outcome } = this.progressOf(order);
-    if (outcome === MoveOutcome.Completed) return version === order.toVersion;
-    if (version === order.toVersion) return outcome === MoveOutcome.Running;
-    return version === old;
+    const progress = order && this.progressOf(order);
+    const old = this.#oldVersion(service, this.serverCounts(service), order, progress);
+    if (version === old) return true;
+    return version === order?.toVersion && progress?.outcome === MoveOutcome.Running;
   }
 
-  #ended(outcome: MoveOutcome): MoveProgress {
-    return { outcome, share: outcome === MoveOutcome.Completed ? 1 : 0, stage: 0 };
+  /** Version that the service runs besides a move, as far as this node knows it. */
+  establishedVersion(service: string): string | undefined {
+    return this.#established.of(service);
   }
 
   /** Number of servers that take new work, by version. */
-  #serverCounts(service: string): ReadonlyMap<string, number> {
+  serverCounts(service: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     for (const { state, backendVersion } of this.dependencies.members.ofService(service)) {
       if (!takesNewWork(state)) continue;
@@ -90,28 +86,30 @@
     return counts;
   }
 
+  #ended(outcome: MoveOutcome): MoveProgress {
+    return { outcome, share: outcome === MoveOutcome.Completed ? 1 : 0, stage: 0 };
+  }
+
   #oldVersion(
     service: string,
     counts: ReadonlyMap<string, number>,
     order: MoveOrder | undefined,
     progress: MoveProgress | undefined,
   ): string | undefined {
-    if (order && progress?.outcome === MoveOutcome.Completed) {
-      this.#established.set(service, order.toVersion);
-      return order.toVersion;
-    }
-    const established = this.#established.get(service);
-    const others = [...counts].filter(([version]) => version !== order?.toVersion);
-    // The version with the most servers is the one that served before. Ties go to the established
-    // version, then to the first by name, so that a node that just joined chooses as the others do.
+    if (order && progress) this.#established.trackOrder(order, progress.outcome);
+    const established = this.#established.of(service);
+    if (established !== undefined && counts.has(established)) return established;
+    // The number of servers shows a version only if its service is not known yet or has lost all servers
+    // of the established version. Ties go to the first by name, so that all nodes choose the same.
+    const others = [...counts].filter(
+      ([version]) => !this.#established.isUnproven(service, version),
+    );
     others.sort(
       ([leftVersion, left], [rightVersion, right]) =>
-        right - left ||
-        Number(rightVersion === established) - Number(leftVersion === established) ||
-        (leftVersion < rightVersion ? -1 : 1),
+        right - left || (leftVersion < rightVersion ? -1 : 1),
     );
     const version = others[0]?.[0];
-    if (version !== undefined) this.#established.set(service, version);
+    if (version !== undefined && others.length === 1) this.#established.observe(service, version);
     return version ?? established;
   }
 }
--- a/packages/types/src/mesh.ts
+++ b/packages/types/src/mesh.ts
@@ -69,6 +69,8 @@
   readonly service: string;
   readonly toVersion: string;
   readonly outcome: MoveOutcome;
+  /** Version that the service ran before the move; undefined if the record does not name it. */
+  readonly fromVersion?: string | undefined;
   /** Revision of the store at which the record was written. */
   readonly revision: number;
 }
