Refuse heartbeats that contradict the settings of the node

What callers saw: after one heartbeat of another writer with an unknown service, about 400 of 400 requests of the clients on a machine ran with that service as their caller (UNASKED), and the server beside the node got no request any more.

Cause: service, identity and start of the server were taken from any well-formed heartbeat, and the caller service with them, although the settings name the service. The latest start won for good.

--- a/packages/gate/src/local-server-tracker.test.ts
+++ b/packages/gate/src/local-server-tracker.test.ts
@@ -4,6 +4,7 @@
 import { HeartbeatEffect, LocalServerTracker } from './index.js';
 
 const endpoint = '10.1.0.41:8628';
+const options = { endpoint, service: 's', heartbeatIntervalMs: 1000 };
 
 const createHeartbeat = (changes: Partial<BackendHeartbeat> = {}): BackendHeartbeat => ({
   instanceId: 'i-1',
@@ -22,7 +23,7 @@
 const trackHeartbeats = (
   ...heartbeats: readonly Partial<BackendHeartbeat>[]
 ): LocalServerTracker => {
-  const tracker = new LocalServerTracker(endpoint);
+  const tracker = new LocalServerTracker(options);
   heartbeats.forEach((changes) => tracker.recordHeartbeat(createHeartbeat(changes), 0));
   return tracker;
 };
@@ -112,3 +113,30 @@
   const tracker = trackHeartbeats({ endpoint: '10.1.0.99:8628' });
   assert.equal(tracker.current(), undefined);
 });
+
+test('a heartbeat of another service is refused', () => {
+  // Guards against a heartbeat of another writer that replaces the server and the caller service.
+  const tracker = trackHeartbeats({});
+  const foreign = createHeartbeat({ instanceId: 'i-9', bornAtUnixMs: 9000, service: 'other' });
+  assert.equal(tracker.recordHeartbeat(foreign, 0), HeartbeatEffect.Refused);
+  assert.equal(tracker.current()?.heartbeat.instanceId, 'i-1');
+});
+
+test('a server whose place another writer took gets it back', () => {
+  // Guards against a server that is ignored for good after one heartbeat with a later start.
+  const tracker = trackHeartbeats({}, { instanceId: 'i-9', bornAtUnixMs: 9000 });
+  assert.equal(tracker.current()?.heartbeat.instanceId, 'i-9');
+  assert.equal(
+    tracker.recordHeartbeat(createHeartbeat({ sequence: 2 }), 2000),
+    HeartbeatEffect.Ignored,
+  );
+  tracker.recordHeartbeat(createHeartbeat({ sequence: 3 }), 3000);
+  assert.equal(tracker.current()?.heartbeat.instanceId, 'i-1');
+});
+
+test('a server whose sequence number another writer used is heard again', () => {
+  // Guards against a server whose cold turns are ignored after one heartbeat with a high number.
+  const tracker = trackHeartbeats({}, { sequence: 900 });
+  tracker.recordHeartbeat(createHeartbeat({ sequence: 2, coldRemainingMs: 2000 }), 3000);
+  assert.equal(tracker.current()?.coldUntilMs, 5000);
+});
--- a/packages/gate/src/local-server-tracker.ts
+++ b/packages/gate/src/local-server-tracker.ts
@@ -19,11 +19,10 @@
 
 /** Effect of a heartbeat on the known server. */
 export enum HeartbeatEffect {
-  /**
-   * Heartbeat ignored: it belongs to an earlier incarnation, arrived out of order, or names another
-   * server.
-   */
+  /** Heartbeat ignored: it belongs to an earlier incarnation or arrived out of order. */
   Ignored = 'ignored',
+  /** Heartbeat refused: it contradicts the settings, so that it names no server of this node. */
+  Refused = 'refused',
   /** The known incarnation continues. */
   Continued = 'continued',
   /** A new incarnation replaces the known one. */
@@ -32,15 +31,25 @@
   Leaving = 'leaving',
 }
 
+/** Heartbeat intervals without a heartbeat or an answer after which a server counts as silent. */
+export const silentHeartbeatIntervalsMax = 2.5;
 /** Departed servers that are kept, so that their late heartbeats are ignored. */
 const departedServersMax = 16;
 
+/** Options of `LocalServerTracker`: the server that the settings of the node name. */
+export interface LocalServerTrackerOptions {
+  readonly endpoint: string;
+  readonly service: string;
+  readonly heartbeatIntervalMs: number;
+}
+
 /**
  * Tracks the backend server beside this node by its heartbeats, which may be late, out of order, from
- * a former incarnation or from another server.
+ * a former incarnation or from another writer. One that contradicts the settings names no server of this
+ * node. One that took the place of a server whose heartbeats go on loses it once it is silent itself.
  *
  * @example
- * const tracker = new LocalServerTracker('10.1.0.41:8628');
+ * const tracker = new LocalServerTracker({ endpoint, service, heartbeatIntervalMs: 1500 });
  * tracker.recordHeartbeat(heartbeat, monotonicNowMs());
  * tracker.current()?.heartbeat.version;
  */
@@ -52,7 +61,7 @@
 
   #lastDeparted: DepartedServer | undefined;
 
-  constructor(private readonly endpoint: string) {}
+  constructor(private readonly options: LocalServerTrackerOptions) {}
 
   /** Returns the server, or undefined before its first heartbeat and after its deregistration. */
   current(): LocalServer | undefined {
@@ -60,7 +69,9 @@
   }
 
   recordHeartbeat(heartbeat: BackendHeartbeat, nowMs: number): HeartbeatEffect {
-    if (heartbeat.endpoint !== this.endpoint) return HeartbeatEffect.Ignored;
+    const { endpoint, service } = this.options;
+    if (heartbeat.endpoint !== endpoint || heartbeat.service !== service)
+      return HeartbeatEffect.Refused;
     if (heartbeat.state === BackendServerState.Draining) this.#keepDeparted(heartbeat);
     const known = this.#server;
     if (known?.heartbeat.instanceId === heartbeat.instanceId) {
@@ -69,9 +80,7 @@
         return this.#continueIncarnation(known, heartbeat, nowMs);
     }
     if (this.#isDeparted(heartbeat)) return HeartbeatEffect.Ignored;
-    if (known && heartbeat.bornAtUnixMs <= known.heartbeat.bornAtUnixMs) {
-      return HeartbeatEffect.Ignored;
-    }
+    if (known && !this.#mayReplace(known, heartbeat, nowMs)) return HeartbeatEffect.Ignored;
     this.#server = this.#toServer(heartbeat, false, nowMs);
     return HeartbeatEffect.Replaced;
   }
@@ -120,13 +129,25 @@
     }
   }
 
+  /** A later incarnation replaces the known one, and so does another server once that is silent. */
+  #mayReplace(known: LocalServer, heartbeat: BackendHeartbeat, nowMs: number): boolean {
+    if (heartbeat.bornAtUnixMs > known.heartbeat.bornAtUnixMs) return true;
+    const isOther = heartbeat.instanceId !== known.heartbeat.instanceId;
+    return isOther && !known.isLeaving && this.#isSilent(known, nowMs);
+  }
+
+  #isSilent({ heartbeatAtMs }: LocalServer, nowMs: number): boolean {
+    return nowMs - heartbeatAtMs > silentHeartbeatIntervalsMax * this.options.heartbeatIntervalMs;
+  }
+
   #continueIncarnation(
     known: LocalServer,
     heartbeat: BackendHeartbeat,
     nowMs: number,
   ): HeartbeatEffect {
     const isDraining = heartbeat.state === BackendServerState.Draining;
-    const isLate = heartbeat.sequence <= known.heartbeat.sequence;
+    // A sequence number that nothing follows was not of this server.
+    const isLate = heartbeat.sequence <= known.heartbeat.sequence && !this.#isSilent(known, nowMs);
     // A drain is final, so that a late heartbeat with it counts as well as one in order.
     if (isLate && !(isDraining && !known.isLeaving)) return HeartbeatEffect.Ignored;
     const latest = isLate ? known.heartbeat : heartbeat;
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -44,7 +44,11 @@
     { usual: 2 },
   );
 
-  readonly serverTracker = new LocalServerTracker('e');
+  readonly serverTracker = new LocalServerTracker({
+    endpoint: 'e',
+    service: 's',
+    heartbeatIntervalMs: 1000,
+  });
 
   readonly gate = new ServerGate({
     dataCentre: 'dc',
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -12,7 +12,11 @@
 } from '@sequoiafield/types';
 import { ColdLimiter } from './cold-limiter.js';
 import { createRefusal } from './create-refusal.js';
-import type { LocalServer, LocalServerTracker } from './local-server-tracker.js';
+import {
+  silentHeartbeatIntervalsMax,
+  type LocalServer,
+  type LocalServerTracker,
+} from './local-server-tracker.js';
 import { RouteLatencyTargets } from './route-latency-targets.js';
 import { ServiceTimes } from './service-times.js';
 import { CallEnd, ShedBreaker } from './shed-breaker.js';
@@ -22,8 +26,6 @@
 const queuedCallsPerSlotMax = 4;
 /** Expected wait that is always allowed; a lower limit would refuse calls in a short burst. */
 const waitAlwaysAllowedMs = 10;
-/** Heartbeat intervals without a heartbeat or an answer after which a server gets no more calls. */
-const silentHeartbeatIntervalsMax = 2.5;
 /** Time without calls after a refused connection, unless a heartbeat or an answer ends it earlier. */
 const connectionRefusedPauseMs = 1000;
 /** A call needs more remaining time than this share of the mean service time of its route. */
--- a/packages/mesh-node/src/heartbeat-monitor.ts
+++ b/packages/mesh-node/src/heartbeat-monitor.ts
@@ -25,11 +25,18 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Processes a heartbeat and applies it to the gate at once. */
-  receiveHeartbeat(heartbeat: BackendHeartbeat): void {
+  /**
+   * Processes a heartbeat and applies it to the gate at once; returns false if it names no server of
+   * this node.
+   */
+  receiveHeartbeat(heartbeat: BackendHeartbeat): boolean {
     const effect = this.serverTracker.recordHeartbeat(heartbeat, monotonicNowMs());
     const { instanceId, service, version, bornAtUnixMs, sequence } = heartbeat;
     const fields = { instanceId, service, version, bornAtUnixMs, sequence };
+    if (effect === HeartbeatEffect.Refused) {
+      this.logger.log(logEvents.heartbeatIgnored, { ...fields, endpoint: heartbeat.endpoint });
+      return false;
+    }
     if (effect === HeartbeatEffect.Replaced) {
       this.logger.log(logEvents.backendServerAnnounced, fields);
     } else if (effect === HeartbeatEffect.Leaving) {
@@ -38,6 +45,7 @@
       this.logger.log(logEvents.heartbeatIgnored, fields);
     }
     this.#applyServerState();
+    return true;
   }
 
   /** Processes the deregistration of a server that leaves. */
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -239,9 +239,11 @@
   const { settings, platform, random, logger } = options;
   const late: LateComponents = {};
   const self = createMemberAnnouncement(options);
-  const serverTracker = new LocalServerTracker(
-    `${settings.backendServer.address}:${settings.backendServer.port}`,
-  );
+  const serverTracker = new LocalServerTracker({
+    endpoint: `${settings.backendServer.address}:${settings.backendServer.port}`,
+    service: settings.service,
+    heartbeatIntervalMs: settings.heartbeatIntervalMs,
+  });
   const transport = createNodeTransport(options, self, late);
   const membership = createMembership({
     self,
@@ -291,7 +293,7 @@
     retryPolicy: new ReachedServerRetryPolicy(),
     protocol: platform.protocol,
     clientLimits: limits,
-    callerService: () => serverTracker.current()?.heartbeat.service ?? settings.service,
+    callerService: () => settings.service,
     onEnded: (summary) => callLog.add(summary),
   });
   late.onOrdersChanged = () => {
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -77,11 +77,13 @@
 
   /**
    * Processes a heartbeat of the backend server, which takes effect at once. Resolves when it may be
-   * acknowledged: the leaving of a server was sent to peers, which keep it for a later process.
+   * acknowledged: the leaving of a server was sent to peers, which keep it for a later process. Resolves
+   * with false if it names no server of this node, and must not be acknowledged.
    */
-  receiveHeartbeat(heartbeat: BackendHeartbeat): Promise<void> {
-    this.#components.heartbeatMonitor.receiveHeartbeat(heartbeat);
-    return this.#components.membership.flush();
+  async receiveHeartbeat(heartbeat: BackendHeartbeat): Promise<boolean> {
+    const isAccepted = this.#components.heartbeatMonitor.receiveHeartbeat(heartbeat);
+    await this.#components.membership.flush();
+    return isAccepted;
   }
 
   /** Processes the deregistration of the backend server; resolves when it may be acknowledged. */
--- a/packages/mesh-node/src/settings.ts
+++ b/packages/mesh-node/src/settings.ts
@@ -22,7 +22,7 @@
   /** Receives the announcements of the own backend server. */
   readonly announcements: Endpoint;
   readonly backendServer: Endpoint;
-  /** Service of the backend server; used until the server announces itself. */
+  /** Service of the backend server, and of the requests that begin at this node. */
   readonly service: string;
   readonly heartbeatIntervalMs: number;
   readonly store: Endpoint;
