Count a server that refused a connection as cold until its start is over

What callers saw: a server that started again under its id, cold, got 131 requests in one second until its first heartbeat, which was 2 s late; 51.5 are allowed (FAILBACK), and above that such a server crashes.

Cause: a refused connection only paused calls for a second, and the cold limit went by the last heartbeat, which was of the former incarnation.

Why this works: nothing listening at the port shows that the incarnation ended, so what its heartbeats said is no longer used.

--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -221,7 +221,7 @@
       const refusal = this.options.classifier.classify(this.#wasWritten, reason, detail);
       this.#resolve({ kind: 'refusal', refusal });
     }
-    this.#end(!this.#isRefused);
+    this.#end(!this.#isRefused, (error as NodeJS.ErrnoException).code === 'ECONNREFUSED');
   }
 
   onConsumed(bytes: number): void {
@@ -252,13 +252,14 @@
     this.#resolve({ kind: 'refusal', refusal });
   }
 
-  #end(hasFailed: boolean): void {
+  #end(hasFailed: boolean, wasConnectionRefused = false): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#onEnd({
       hasFailed,
       hasRun: this.#wasWritten && !this.#isRefused,
       wasShed: this.#isRefused,
+      wasConnectionRefused,
       status: this.#status,
     });
     this.#onReleased();
--- a/packages/calls/src/call-receiver.ts
+++ b/packages/calls/src/call-receiver.ts
@@ -186,12 +186,14 @@
     const isCancelledByCaller = isCancelled && nowMs < open.deadlineAtMs;
     const hasFailed = outcome.hasFailed && !isCancelledByCaller;
     if (hasFailed) this.counters.backendFailures += 1;
-    permit.release({ hasFailed, latencyMs, wasShed: outcome.wasShed });
+    const { wasShed, wasConnectionRefused, status } = outcome;
+    const wasAnswered = status > 0;
+    permit.release({ hasFailed, latencyMs, wasShed, wasAnswered, wasConnectionRefused });
     if (!outcome.hasRun || isCancelledByCaller) return;
     const { service, route, backendVersion } = open;
     this.options.evidence.recordEnded({
       ...{ service, route, backendVersion, hasFailed, latencyMs },
-      status: outcome.status,
+      status,
     });
   }
 }
--- a/packages/gate/src/cold-limiter.ts
+++ b/packages/gate/src/cold-limiter.ts
@@ -1,16 +1,25 @@
-import { RefusalReason, type CallRefusal, type OrdersView } from '@sequoiafield/types';
+import {
+  RefusalReason,
+  type CallRefusal,
+  type MeshService,
+  type OrdersView,
+} from '@sequoiafield/types';
 import { createRefusal } from './create-refusal.js';
 import type { LocalServer } from './local-server-tracker.js';
 import { RateWindow } from './rate-window.js';
 
 /** Window in which requests to a cold server are counted; a little over the second of its limit. */
 const coldWindowMs = 1050;
-/** Extra time that a server counts as cold, for the delivery time of its heartbeat. */
+/** Extra time that a server counts as cold, for the delivery time of its heartbeat or its answer. */
 const coldMarginMs = 150;
 
 /**
  * Limits the calls that a cold backend server gets in any second. Calls count while it is warm as well,
  * since it may turn cold at any moment.
+ *
+ * A server that refused a connection may have started again, of which heartbeats sent before tell
+ * nothing. It counts as cold until its cold start is over, counted from its first answer, or until a
+ * heartbeat of the later incarnation.
  */
 export class ColdLimiter {
   readonly #requestWindow = new RateWindow(coldWindowMs);
@@ -19,6 +28,9 @@
 
   #wasEvacuated = false;
 
+  /** Time until which the server may be cold after a start; infinite until its first answer. */
+  #startedColdUntilMs = Number.NEGATIVE_INFINITY;
+
   constructor(
     private readonly dataCentre: string,
     private readonly orders: OrdersView,
@@ -31,10 +43,27 @@
     this.#wasEvacuated = isEvacuated;
   }
 
+  /** Notes that nothing listened at the server's port. */
+  noteConnectionRefused(): void {
+    this.#startedColdUntilMs = Number.POSITIVE_INFINITY;
+  }
+
+  /** Notes an answer; the server started before it. */
+  noteAnswer(server: LocalServer, nowMs: number): void {
+    if (this.#startedColdUntilMs !== Number.POSITIVE_INFINITY) return;
+    const coldStartMs = this.#serviceOf(server)?.coldStartMs ?? 0;
+    this.#startedColdUntilMs = nowMs + coldStartMs + coldMarginMs;
+  }
+
+  /** Notes a new incarnation, whose heartbeats tell whether it is cold. */
+  noteIncarnation(): void {
+    this.#startedColdUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Counts a call towards the limit; returns a refusal if a cold server has reached it. */
   count(server: LocalServer, nowMs: number): CallRefusal | undefined {
     const limit = this.#limit(server);
-    if (this.#isCold(server, nowMs) && this.#requestWindow.count(nowMs) >= limit) {
+    if (this.isCold(server, nowMs) && this.#requestWindow.count(nowMs) >= limit) {
       const retryAfterMs = this.#requestWindow.waitMs(nowMs, limit);
       return createRefusal(RefusalReason.ColdServer, 'the cold server has its share', retryAfterMs);
     }
@@ -42,16 +71,20 @@
     return undefined;
   }
 
-  #isCold(server: LocalServer, nowMs: number): boolean {
+  /** Whether the server is cold, or may be. */
+  isCold(server: LocalServer, nowMs: number): boolean {
+    if (nowMs < this.#startedColdUntilMs) return true;
     if (nowMs < server.coldUntilMs + coldMarginMs && server.coldUntilMs > 0) return true;
     // A server may have turned cold during an evacuation, which only a later heartbeat can show.
     return server.heartbeatAtMs < this.#evacuationEndedAtMs + coldMarginMs;
   }
 
   #limit(server: LocalServer): number {
-    const { configuration } = this.orders.current();
-    const service = configuration?.services.get(server.heartbeat.service);
     // Without a configuration the limit is unknown; one request per window does no harm.
-    return Math.max(1, Math.floor(service?.coldRequestsPerS ?? 1));
+    return Math.max(1, Math.floor(this.#serviceOf(server)?.coldRequestsPerS ?? 1));
+  }
+
+  #serviceOf({ heartbeat }: LocalServer): MeshService | undefined {
+    return this.orders.current().configuration?.services.get(heartbeat.service);
   }
 }
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -216,6 +216,36 @@
   assert.ok(inOneSecond >= 18, `${inOneSecond} admitted in a second`);
 });
 
+test('a server that refused a connection counts as cold until its cold start is over', async () => {
+  // Guards against full load on a server that started again and whose first heartbeat is late, also
+  // after a late heartbeat of its former incarnation.
+  const fixture = new GateFixture();
+  fixture.recordHeartbeat();
+  const admission = await fixture.admit();
+  assert.equal(admission.kind, 'permit');
+  const refused = { hasFailed: true, latencyMs: 1, wasAnswered: false, wasConnectionRefused: true };
+  if (admission.kind === 'permit') admission.permit.release(refused);
+  await clock.advance(1200);
+  fixture.recordHeartbeat({ sequence: 2 });
+  assert.equal(await admitSequentially(fixture, 40), 20);
+  await clock.advance(2900);
+  fixture.recordHeartbeat({ sequence: 3 });
+  assert.equal(await admitSequentially(fixture, 40), 20);
+  await clock.advance(300);
+  assert.equal(await admitSequentially(fixture, 40), 40);
+});
+
+test('the first heartbeat of a later incarnation ends the doubt about a cold server', async () => {
+  // Guards against a limit on a server that has said that it is warm.
+  const fixture = new GateFixture();
+  fixture.recordHeartbeat();
+  const admission = await fixture.admit();
+  const refused = { hasFailed: true, latencyMs: 1, wasAnswered: false, wasConnectionRefused: true };
+  if (admission.kind === 'permit') admission.permit.release(refused);
+  fixture.recordHeartbeat({ bornAtUnixMs: 2000 });
+  assert.equal(await admitSequentially(fixture, 40), 40);
+});
+
 test('a silent server gets no calls until its next heartbeat', async () => {
   // Guards against calls that get no answer from a server without power.
   const fixture = new GateFixture();
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -160,6 +160,12 @@
     return refusedAtMs > lastContactAtMs && nowMs - refusedAtMs < connectionRefusedPauseMs;
   }
 
+  /** Whether the server is cold, or may be. */
+  isCold(): boolean {
+    const server = this.options.serverTracker.current();
+    return server !== undefined && this.#coldLimiter.isCold(server, monotonicNowMs());
+  }
+
   /** Records that the server refused a connection. */
   recordConnectionRefused(): void {
     this.#connectionRefusedAtMs = monotonicNowMs();
@@ -194,6 +200,7 @@
     this.#serviceTimes = new ServiceTimes();
     this.#shedBreaker = new ShedBreaker();
     this.#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
+    this.#coldLimiter.noteIncarnation();
   }
 
   /** Refuses a call for its remaining time or for the calls queued ahead of it. */
@@ -259,21 +266,30 @@
     const isTrial = breaker.start();
     let isReleased = false;
     return {
-      release: ({ hasFailed, latencyMs, wasShed = false }) => {
+      release: (result) => {
         if (isReleased) return;
         isReleased = true;
+        const { hasFailed, latencyMs, wasShed = false, wasAnswered = !hasFailed } = result;
         this.#running -= 1;
         breaker.end(callEndOf(hasFailed, wasShed, latencyMs), isTrial);
         if (incarnation === this.#incarnation && latencyMs > 0) {
           this.#serviceTimes.record(open.route, latencyMs, hasFailed);
           this.#serviceTimeRecordedAtMs = monotonicNowMs();
-          if (!hasFailed) this.#lastAnswerAtMs = monotonicNowMs();
+          if (wasAnswered) this.#recordAnswer(hasFailed);
+          if (result.wasConnectionRefused) this.#coldLimiter.noteConnectionRefused();
         }
         this.#startQueuedCalls();
       },
     };
   }
 
+  #recordAnswer(hasFailed: boolean): void {
+    const nowMs = monotonicNowMs();
+    if (!hasFailed) this.#lastAnswerAtMs = nowMs;
+    const server = this.options.serverTracker.current();
+    if (server) this.#coldLimiter.noteAnswer(server, nowMs);
+  }
+
   #enqueue(open: CallOpen, deadlineAtMs: number, signal: CancelSignal): Promise<AdmissionResult> {
     return new Promise((resolve) => {
       let onAbort = (): void => undefined;
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -165,7 +165,7 @@
           service: server.heartbeat.service,
           backendVersion: server.heartbeat.version,
           runningCalls: gate.load().runningCalls,
-          isCold: monotonicNowMs() < server.coldUntilMs,
+          isCold: gate.isCold(),
         }
       );
     },
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -141,6 +141,10 @@
     readonly latencyMs: number;
     /** Whether the backend server refused the call without running it. */
     readonly wasShed?: boolean;
+    /** Whether the backend server sent an answer; by default, whether the call did not fail. */
+    readonly wasAnswered?: boolean;
+    /** Whether nothing listened at the port of the backend server. */
+    readonly wasConnectionRefused?: boolean;
   }): void;
 }
 
