Give a server its place back also after a draining heartbeat of another writer

What callers saw: none yet; found by reading again. A heartbeat of another writer with the right service and address, a later start and the state "draining" took the place of the server for good.

Cause: a silent server that leaves was not replaced by another one.

Evidence: "a server whose place another writer took gets it back" now uses such a heartbeat and fails without the change. A late heartbeat of a server before the one that leaves names an instance that is not there, so that requests in its name are refused as not run.

--- a/packages/gate/src/local-server-tracker.test.ts
+++ b/packages/gate/src/local-server-tracker.test.ts
@@ -124,7 +124,8 @@
 
 test('a server whose place another writer took gets it back', () => {
   // Guards against a server that is ignored for good after one heartbeat with a later start.
-  const tracker = trackHeartbeats({}, { instanceId: 'i-9', bornAtUnixMs: 9000 });
+  const foreign = { instanceId: 'i-9', bornAtUnixMs: 9000, state: BackendServerState.Draining };
+  const tracker = trackHeartbeats({}, foreign);
   assert.equal(tracker.current()?.heartbeat.instanceId, 'i-9');
   assert.equal(
     tracker.recordHeartbeat(createHeartbeat({ sequence: 2 }), 2000),
@@ -132,6 +133,7 @@
   );
   tracker.recordHeartbeat(createHeartbeat({ sequence: 3 }), 3000);
   assert.equal(tracker.current()?.heartbeat.instanceId, 'i-1');
+  assert.equal(tracker.current()?.isLeaving, false);
 });
 
 test('a server whose sequence number another writer used is heard again', () => {
--- a/packages/gate/src/local-server-tracker.ts
+++ b/packages/gate/src/local-server-tracker.ts
@@ -133,7 +133,7 @@
   #mayReplace(known: LocalServer, heartbeat: BackendHeartbeat, nowMs: number): boolean {
     if (heartbeat.bornAtUnixMs > known.heartbeat.bornAtUnixMs) return true;
     const isOther = heartbeat.instanceId !== known.heartbeat.instanceId;
-    return isOther && !known.isLeaving && this.#isSilent(known, nowMs);
+    return isOther && this.#isSilent(known, nowMs);
   }
 
   #isSilent({ heartbeatAtMs }: LocalServer, nowMs: number): boolean {
