Count a server as cold for a cold start after an evacuation, whatever a late heartbeat says

Cause: the server counted as cold until any heartbeat that arrived after the evacuation.

Why this works: a server that turned cold during the evacuation is warm again once a cold start has passed since its end, so the limit needs no heartbeat. A server that stayed warm is limited for longer, by 1.6 s at most with the heartbeats of the users' sites.

The test "an evacuated data centre gets no calls; after it the server counts as cold until a heartbeat" asserted the fault: it let a heartbeat of unknown age end the limit. It now asserts that such a heartbeat does not, and that the limit ends with the cold start.

--- a/packages/gate/src/cold-limiter.ts
+++ b/packages/gate/src/cold-limiter.ts
@@ -36,7 +36,7 @@
     private readonly orders: OrdersView,
   ) {}
 
-  /** Notes the end of an evacuation, after which the server counts as cold until a heartbeat. */
+  /** Notes the end of an evacuation, during which the server may have turned cold. */
   trackEvacuation(nowMs: number): void {
     const isEvacuated = this.orders.current().evacuatedDataCentres.has(this.dataCentre);
     if (this.#wasEvacuated && !isEvacuated) this.#evacuationEndedAtMs = nowMs;
@@ -75,8 +75,9 @@
   isCold(server: LocalServer, nowMs: number): boolean {
     if (nowMs < this.#startedColdUntilMs) return true;
     if (nowMs < server.coldUntilMs + coldMarginMs && server.coldUntilMs > 0) return true;
-    // A server may have turned cold during an evacuation, which only a later heartbeat can show.
-    return server.heartbeatAtMs < this.#evacuationEndedAtMs + coldMarginMs;
+    // A heartbeat that arrives after an evacuation may have been sent before the server turned cold.
+    const coldStartMs = this.#serviceOf(server)?.coldStartMs ?? 0;
+    return nowMs < this.#evacuationEndedAtMs + coldStartMs + coldMarginMs;
   }
 
   #limit(server: LocalServer): number {
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -181,9 +181,9 @@
   assert.equal(reasonOf(await fixture.admit()), RefusalReason.Draining);
 });
 
-test('an evacuated data centre gets no calls; after it the server counts as cold until a heartbeat', async () => {
+test('an evacuated data centre gets no calls; after it the server counts as cold for a cold start', async () => {
   // Guards against new work after an evacuation, and against full load on servers that turned cold
-  // during it.
+  // during it and whose heartbeat from before arrives after it.
   const fixture = new GateFixture();
   fixture.recordHeartbeat();
   fixture.orders.change({ evacuatedDataCentres: new Set(['dc']) });
@@ -194,8 +194,10 @@
   fixture.gate.run({ nowMs: monotonicNowMs() });
   const admitted = await admitSequentially(fixture, 40);
   assert.equal(admitted, 20);
-  await clock.advance(200);
+  await clock.advance(1100);
   fixture.recordHeartbeat({ sequence: 2 });
+  assert.equal(await admitSequentially(fixture, 40), 20);
+  await clock.advance(2100);
   assert.equal(await admitSequentially(fixture, 40), 40);
 });
 
