Take up a later incarnation whose first heartbeat says that it drains

A server that restarts under its id and drains with its first heartbeat was ignored, and its node went on sending it calls under the id that both share.

Cause: kept the departure of a draining heartbeat before it asked whether the incarnation had departed.

--- a/packages/gate/src/local-server-tracker.test.ts
+++ b/packages/gate/src/local-server-tracker.test.ts
@@ -93,6 +93,13 @@
   assert.equal(tracker.current()?.isLeaving, false);
 });
 
+test('a later incarnation that drains at once replaces the former one', () => {
+  // Guards against calls under the id of a former incarnation that reach the draining one.
+  const tracker = trackHeartbeats({}, { bornAtUnixMs: 2000, state: BackendServerState.Draining });
+  assert.equal(tracker.current()?.heartbeat.bornAtUnixMs, 2000);
+  assert.equal(tracker.current()?.isLeaving, true);
+});
+
 test('a server that left a former process gets no new work', () => {
   // Guards against a late heartbeat that a new process receives before it knows of the leaving.
   const tracker = trackHeartbeats({});
--- a/packages/gate/src/local-server-tracker.ts
+++ b/packages/gate/src/local-server-tracker.ts
@@ -72,6 +72,7 @@
     const { endpoint, service } = this.options;
     if (heartbeat.endpoint !== endpoint || heartbeat.service !== service)
       return HeartbeatEffect.Refused;
+    const wasDeparted = this.#isDeparted(heartbeat);
     if (heartbeat.state === BackendServerState.Draining) this.#keepDeparted(heartbeat);
     const known = this.#server;
     if (known?.heartbeat.instanceId === heartbeat.instanceId) {
@@ -79,7 +80,7 @@
       if (heartbeat.bornAtUnixMs === bornAtUnixMs)
         return this.#continueIncarnation(known, heartbeat, nowMs);
     }
-    if (this.#isDeparted(heartbeat)) return HeartbeatEffect.Ignored;
+    if (wasDeparted) return HeartbeatEffect.Ignored;
     if (known && !this.#mayReplace(known, heartbeat, nowMs)) return HeartbeatEffect.Ignored;
     this.#server = this.#toServer(heartbeat, false, nowMs);
     return HeartbeatEffect.Replaced;
