Use a completed version also where the register of its move names no established version

What callers saw: none yet; found by reading again. Beside a judge of an earlier build, which writes no established version, a node whose record of the move is behind would admit calls to neither version.

--- a/packages/moves/src/version-policy.test.ts
+++ b/packages/moves/src/version-policy.test.ts
@@ -138,6 +138,17 @@
   assert.deepEqual(decisionsOf(fleet.createPolicy()), expected);
 });
 
+test('a completed version gets the calls also where the register names no established version', () => {
+  // Guards against a service that refuses all calls after a move that a judge without that field ended.
+  const fleet = new VersionFleet();
+  fleet.setServers('v1', 'v2');
+  fleet.order('v2', 10);
+  const outcome = MoveOutcome.Running;
+  fleet.record({ toVersion: 'v2', outcome, fromVersion: 'v1', revision: 12 });
+  fleet.register = { kind: 2, key: service, rank: 10 * 16 + 15, body: null };
+  assert.deepEqual(decisionsOf(fleet.createPolicy()), { chosen: 'v2', allowed: ['v2'] });
+});
+
 test('an order of the established version changes nothing', () => {
   // Guards against a service whose only version gets no calls after a rollback of such an order.
   const fleet = new VersionFleet();
--- a/packages/moves/src/version-policy.ts
+++ b/packages/moves/src/version-policy.ts
@@ -97,6 +97,7 @@
     progress: MoveProgress | undefined,
   ): string | undefined {
     if (order && progress) this.#established.trackOrder(order, progress.outcome);
+    if (order && progress?.outcome === MoveOutcome.Completed) return order.toVersion;
     const established = this.#established.of(service);
     if (established !== undefined && counts.has(established)) return established;
     // The number of servers shows a version only if its service is not known yet or has lost all servers
