--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -266,7 +266,7 @@
     1704,
     EventLevel.Warn,
     'heartbeatIgnored',
-    'A heartbeat was ignored: it is malformed, belongs to a former incarnation or names another server.',
+    'A heartbeat was ignored: it is malformed, belongs to a former incarnation or contradicts the settings.',
   ),
   backendServerSilent: defineEvent(
     1705,
