--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -22,6 +22,7 @@
   type RefusalHead,
 } from './call-protocol.js';
 export { httpStatusOf } from './refusals.js';
+export { PortChecker, type CheckedEndpoint } from './port-checker.js';
 export { ReachedServerRetryPolicy } from './reached-server-retry-policy.js';
 export { SafeRetryPolicy, type RetryPolicy, type RetryContext } from './retry-policy.js';
 export { type BackendClientOptions, UndiciBackendClient } from './undici-backend-client.js';
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -43,6 +43,8 @@
   readonly watchesAllConnections?: boolean;
   /** Time limit for connecting to the backend server; 1,000 ms by default. */
   readonly connectTimeoutMs?: number;
+  /** Called when the server has ended or reset a connection that is watched. */
+  readonly onEndedByServer?: () => void;
   /** `DefaultCallProtocol` by default. */
   readonly protocol?: CallProtocol;
   /** Returns the id of the server that requests are meant for; empty if unknown. */
@@ -199,6 +201,7 @@
   #createClient(): WatchedClient {
     const { connect, ...options } = connectionOptions;
     const timeoutMs = this.options.connectTimeoutMs ?? connect.timeout;
-    return openWatchedClient(this.options.origin, options, timeoutMs);
+    const { origin, onEndedByServer } = this.options;
+    return openWatchedClient(origin, options, timeoutMs, onEndedByServer);
   }
 }
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -166,6 +166,12 @@
     return server !== undefined && this.#coldLimiter.isCold(server, monotonicNowMs());
   }
 
+  /** Records that nothing listens at the server's port, so that its incarnation has ended. */
+  recordServerDown(): void {
+    this.recordConnectionRefused();
+    this.#coldLimiter.noteConnectionRefused();
+  }
+
   /** Records that the server refused a connection. */
   recordConnectionRefused(): void {
     this.#connectionRefusedAtMs = monotonicNowMs();
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -1,6 +1,7 @@
 import {
   BackendCallReceiver,
   createCallProxy,
+  PortChecker,
   ReachedServerRetryPolicy,
   UndiciBackendClient,
   type CallProxy,
@@ -180,6 +181,7 @@
   gate: ServerGate,
 ): BackendCallReceiver => {
   const { address, port } = settings.backendServer;
+  const portChecker = new PortChecker({ address, port }, () => gate.recordServerDown());
   return new BackendCallReceiver({
     self: {
       incarnation,
@@ -205,6 +207,7 @@
       completesCancelledNonIdempotent: true,
       watchesAllConnections: true,
       connectTimeoutMs: backendConnectTimeoutMs,
+      onEndedByServer: () => portChecker.checkSoon(),
     }),
   });
 };
