Give the version of an order nothing once a later move of its service is known

Cause: publishes the register of a move at its start. A node that receives it before the order itself found no step of the former order in it, and took that order for running at its first share, 4 % of the calls.

Evidence: the new test of version-policy.test.ts, which fails before the change (1 of 9): a register of the next move and no final record give the former version calls.

Why this works: a register of a later order shows that the former one is over, so its version gets no share and is admitted only if it is the established one.

--- a/packages/moves/src/version-policy.test.ts
+++ b/packages/moves/src/version-policy.test.ts
@@ -149,6 +149,18 @@
   assert.deepEqual(decisionsOf(fleet.createPolicy()), { chosen: 'v2', allowed: ['v2'] });
 });
 
+test('a node that hears of the next move before its order sends nothing to a rolled-back version', () => {
+  // Guards against a register of a later move that replaces the one that says of the rollback.
+  const { fleet } = createFleetAfterRollback();
+  const outcome = MoveOutcome.Running;
+  fleet.record({ toVersion: 'v2', outcome, fromVersion: 'v1', revision: 12 });
+  const body = { establishedVersion: 'v1' };
+  fleet.register = { kind: 2, key: service, rank: 20 * 16, body };
+  const policy = fleet.createPolicy();
+  assert.deepEqual(decisionsOf(policy), { chosen: 'v1', allowed: ['v1'] });
+  assert.equal(policy.choose(service, 0), 'v1');
+});
+
 test('an order of the established version changes nothing', () => {
   // Guards against a service whose only version gets no calls after a rollback of such an order.
   const fleet = new VersionFleet();
--- a/packages/moves/src/version-policy.ts
+++ b/packages/moves/src/version-policy.ts
@@ -8,7 +8,13 @@
   type RegisterGossip,
 } from '@sequoiafield/types';
 import { EstablishedVersions, isRecordOf } from './established-versions.js';
-import { completedStep, moveStages, rolledBackStep, registerStepOf } from './move-stages.js';
+import {
+  completedStep,
+  moveStages,
+  orderRevisionOf,
+  registerStepOf,
+  rolledBackStep,
+} from './move-stages.js';
 
 /** Dependencies of a version policy. */
 export interface VersionPolicyDependencies {
@@ -43,6 +49,9 @@
     const isForOrder = record !== undefined && isRecordOf(record, order);
     if (isForOrder && record.outcome !== MoveOutcome.Running) return this.#ended(record.outcome);
     const rank = this.dependencies.registers.read(RegisterKind.Stage, order.service)?.rank ?? 0;
+    // The register of a later order arrives before that order if this node is behind.
+    const isSuperseded = orderRevisionOf(rank) > order.revision;
+    if (isSuperseded) return { outcome: MoveOutcome.Running, share: 0, stage: 0 };
     const step = registerStepOf(order.revision, rank) ?? 0;
     if (step === completedStep) return this.#ended(MoveOutcome.Completed);
     if (step === rolledBackStep) return this.#ended(MoveOutcome.RolledBack);
@@ -68,7 +77,8 @@
     const progress = order && this.progressOf(order);
     const old = this.#oldVersion(service, this.serverCounts(service), order, progress);
     if (version === old) return true;
-    return version === order?.toVersion && progress?.outcome === MoveOutcome.Running;
+    if (version !== order?.toVersion || !progress) return false;
+    return progress.outcome === MoveOutcome.Running && progress.share > 0;
   }
 
   /** Version that the service runs besides a move, as far as this node knows it. */
