Let no version take the place of the established one while an order stands

Cause: inferred from the code and shown by a unit test: the servers of the rolled-back version were back before that of the established one, which was known from the record but had no server yet. The number of servers then decided, and no node remembered the rollback.

Evidence: the new test of version-policy.test.ts fails before the change (1 of 10) and passes with it.

Why this works: while the service has an order, a known established version keeps its place without servers; calls beyond the ordered version's share are refused as not run until its servers are back.

--- a/packages/moves/src/version-policy.test.ts
+++ b/packages/moves/src/version-policy.test.ts
@@ -109,6 +109,17 @@
   assert.deepEqual(decisionsOf(fleet.createPolicy()), expected);
 });
 
+test('a fleet that starts anew waits for the established version', () => {
+  // Guards against calls to a rolled-back version whose servers come back before the old ones.
+  const { fleet } = createFleetAfterRollback();
+  fleet.order('v3', 20);
+  const outcome = MoveOutcome.Running;
+  fleet.record({ toVersion: 'v3', outcome, fromVersion: 'v1', revision: 22 });
+  fleet.setServers('v2', 'v2', 'v3');
+  const expected = { chosen: 'v1', allowed: ['v1', 'v3'] };
+  assert.deepEqual(decisionsOf(fleet.createPolicy()), expected);
+});
+
 test('servers that start before their order is received get no calls, however many', () => {
   // Guards against a new version that gets all calls because old servers crashed before its order.
   const fleet = new VersionFleet();
--- a/packages/moves/src/version-policy.ts
+++ b/packages/moves/src/version-policy.ts
@@ -109,9 +109,12 @@
     if (order && progress) this.#established.trackOrder(order, progress.outcome);
     if (order && progress?.outcome === MoveOutcome.Completed) return order.toVersion;
     const established = this.#established.of(service);
-    if (established !== undefined && counts.has(established)) return established;
-    // The number of servers shows a version only if its service is not known yet or has lost all servers
-    // of the established version. Ties go to the first by name, so that all nodes choose the same.
+    // While an order stands, a version that no completed move brought in never takes the place of the
+    // established one, whose servers may only be slower to come back after a restart of all nodes.
+    if (established !== undefined && (order || counts.has(established))) return established;
+    // The number of servers shows a version only if its service is not known yet, or runs without orders
+    // and has lost all servers of the established version. Ties go to the first by name, so that all
+    // nodes choose the same.
     const others = [...counts].filter(
       ([version]) => !this.#established.isUnproven(service, version),
     );
