Use one mechanism for lost connections to the backend server

Change: the pool of connections reports one that was lost (refused, reset or ended before its answer, or ended while it was kept), and the check of the port alone decides whether the server has ended. The fields in outcome and permit are gone. What any failed connect causes is named so (`recordConnectFailed`).

--- a/packages/calls/src/backend-client.ts
+++ b/packages/calls/src/backend-client.ts
@@ -24,8 +24,6 @@
   readonly hasRun: boolean;
   /** Whether the backend server reported that it did not run the request. */
   readonly wasShed: boolean;
-  /** Whether nothing listened at the port of the backend server. */
-  readonly wasConnectionRefused: boolean;
   /** Status of the answer; 0 if there was none. */
   readonly status: number;
 }
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -71,6 +71,8 @@
 
   #isAnswerWhole = false;
 
+  #hasLostConnection = false;
+
   #connection: { readonly hasErrored: boolean } | undefined;
 
   /** Whether the answer has a length or chunks, by which its end can be detected. */
@@ -123,6 +125,11 @@
     return this.#isAnswerWhole;
   }
 
+  /** Whether the server ended, reset or refused the connection before the answer was whole. */
+  get hasLostConnection(): boolean {
+    return this.#hasLostConnection;
+  }
+
   /** Aborts the request; if it is not written yet, nothing is sent. */
   abort(reason: RefusalReason): void {
     this.#abortReason ??= reason;
@@ -199,8 +206,10 @@
 
   onResponseEnd(controller: Dispatcher.DispatchController): void {
     if (!this.#isDelimited && this.#connection?.hasErrored) {
-      const error = new CallError('The connection broke before the end of the answer');
-      this.onResponseError(controller, error);
+      this.onResponseError(
+        controller,
+        new Error('The connection broke before the end of the answer'),
+      );
       return;
     }
     this.#isAnswerWhole = true;
@@ -211,6 +220,8 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    // Errors of this project end a connection for what was sent on it.
+    this.#hasLostConnection = !(error instanceof CallError);
     const detail = `the request to the backend server failed: ${error.message}`;
     if (this.#isAnswerResolved) this.#body?.fail(new CallError(detail, { cause: error }));
     else if (!this.#isRefused) {
@@ -221,7 +232,7 @@
       const refusal = this.options.classifier.classify(this.#wasWritten, reason, detail);
       this.#resolve({ kind: 'refusal', refusal });
     }
-    this.#end(!this.#isRefused, (error as NodeJS.ErrnoException).code === 'ECONNREFUSED');
+    this.#end(!this.#isRefused);
   }
 
   onConsumed(bytes: number): void {
@@ -252,14 +263,13 @@
     this.#resolve({ kind: 'refusal', refusal });
   }
 
-  #end(hasFailed: boolean, wasConnectionRefused = false): void {
+  #end(hasFailed: boolean): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#onEnd({
       hasFailed,
       hasRun: this.#wasWritten && !this.#isRefused,
       wasShed: this.#isRefused,
-      wasConnectionRefused,
       status: this.#status,
     });
     this.#onReleased();
--- a/packages/calls/src/call-receiver.ts
+++ b/packages/calls/src/call-receiver.ts
@@ -186,9 +186,8 @@
     const isCancelledByCaller = isCancelled && nowMs < open.deadlineAtMs;
     const hasFailed = outcome.hasFailed && !isCancelledByCaller;
     if (hasFailed) this.counters.backendFailures += 1;
-    const { wasShed, wasConnectionRefused, status } = outcome;
-    const wasAnswered = status > 0;
-    permit.release({ hasFailed, latencyMs, wasShed, wasAnswered, wasConnectionRefused });
+    const { wasShed, status } = outcome;
+    permit.release({ hasFailed, latencyMs, wasShed, wasAnswered: status > 0 });
     if (!outcome.hasRun || isCancelledByCaller) return;
     const { service, route, backendVersion } = open;
     this.options.evidence.recordEnded({
--- a/packages/calls/src/keep-alive-connection-pool.ts
+++ b/packages/calls/src/keep-alive-connection-pool.ts
@@ -31,6 +31,8 @@
   constructor(
     private readonly connectionsMax: number,
     private readonly createClient: () => WatchedClient,
+    /** Called when the server ended a kept connection, or one in use before its answer was whole. */
+    private readonly onConnectionLost: () => void = () => undefined,
   ) {}
 
   /** Writes the request to a reusable or new connection; queues it at the connection limit. */
@@ -65,6 +67,7 @@
       if (index < 0) return;
       this.#idleConnections.splice(index, 1);
       this.#closeConnection(connection);
+      this.onConnectionLost();
     });
     return connection;
   }
@@ -77,6 +80,7 @@
   }
 
   #release(connection: KeepAliveConnection, exchange: BackendExchange): void {
+    if (exchange.hasLostConnection) this.onConnectionLost();
     if (connection.recordExchangeEnd(exchange)) this.#idleConnections.push(connection);
     else if (exchange.isAnswerWhole) this.#closeConnection(connection);
     else this.#destroyConnection(connection);
--- a/packages/calls/src/keep-alive-connection.ts
+++ b/packages/calls/src/keep-alive-connection.ts
@@ -32,7 +32,6 @@
   origin: string,
   options: Client.Options,
   connectTimeoutMs: number,
-  onEndedByServer: () => void = () => undefined,
 ): WatchedClient => {
   const state: WatchedState = { hasErrored: false, socket: undefined, readBytesMax: 0 };
   const expectAnswer = (): void => {
@@ -54,10 +53,8 @@
         // ends.
         socket?.on('error', () => {
           state.hasErrored = true;
-          onEndedByServer();
         });
         socket?.on('end', () => {
-          onEndedByServer();
           // If a reset arrives in one poll with the last bytes, libuv reports an end instead
           // (`uv__stream_io`). A connection that was reset no longer has a remote address.
           if (socket.remoteAddress === undefined) state.hasErrored = true;
--- a/packages/calls/src/port-checker.ts
+++ b/packages/calls/src/port-checker.ts
@@ -12,11 +12,11 @@
 }
 
 /**
- * Finds out whether a server that ended a connection still listens. A server that does not has ended,
- * and what answers at its port later is another incarnation.
+ * Checks whether a server whose connection was lost still listens. A server that does not has ended, and
+ * what answers at its port later is another incarnation.
  *
  * @example
- * const checker = new PortChecker({ address: '127.0.0.1', port: 8080 }, () => gate.recordServerDown());
+ * const checker = new PortChecker({ address: '127.0.0.1', port: 8080 }, () => gate.recordServerEnded());
  * checker.checkSoon();
  */
 export class PortChecker {
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -43,8 +43,8 @@
   readonly watchesAllConnections?: boolean;
   /** Time limit for connecting to the backend server; 1,000 ms by default. */
   readonly connectTimeoutMs?: number;
-  /** Called when the server has ended or reset a connection that is watched. */
-  readonly onEndedByServer?: () => void;
+  /** Called when the server ended or refused a watched connection that it was not expected to end. */
+  readonly onConnectionLost?: () => void;
   /** `DefaultCallProtocol` by default. */
   readonly protocol?: CallProtocol;
   /** Returns the id of the server that requests are meant for; empty if unknown. */
@@ -110,8 +110,10 @@
     this.#protocol = options.protocol ?? new DefaultCallProtocol();
     this.#pool = this.#createPool();
     this.#singleUsePool = this.#createPool();
-    this.#keepAlivePool = new KeepAliveConnectionPool(options.connectionsMax, () =>
-      this.#createClient(),
+    this.#keepAlivePool = new KeepAliveConnectionPool(
+      options.connectionsMax,
+      () => this.#createClient(),
+      options.onConnectionLost,
     );
   }
 
@@ -201,7 +203,6 @@
   #createClient(): WatchedClient {
     const { connect, ...options } = connectionOptions;
     const timeoutMs = this.options.connectTimeoutMs ?? connect.timeout;
-    const { origin, onEndedByServer } = this.options;
-    return openWatchedClient(origin, options, timeoutMs, onEndedByServer);
+    return openWatchedClient(this.options.origin, options, timeoutMs);
   }
 }
--- a/packages/gate/src/cold-limiter.ts
+++ b/packages/gate/src/cold-limiter.ts
@@ -17,8 +17,8 @@
  * Limits the calls that a cold backend server gets in any second. Calls count while it is warm as well,
  * since it may turn cold at any moment.
  *
- * A server that refused a connection may have started again, of which heartbeats sent before tell
- * nothing. It counts as cold until its cold start is over, counted from its first answer, or until a
+ * A server that has ended may have started again, and heartbeats sent before do not tell whether it is
+ * cold. It counts as cold until its cold start is over, counted from its first answer, or until a
  * heartbeat of the later incarnation.
  */
 export class ColdLimiter {
@@ -44,7 +44,7 @@
   }
 
   /** Notes that nothing listened at the server's port. */
-  noteConnectionRefused(): void {
+  noteServerEnded(): void {
     this.#startedColdUntilMs = Number.POSITIVE_INFINITY;
   }
 
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -218,15 +218,12 @@
   assert.ok(inOneSecond >= 18, `${inOneSecond} admitted in a second`);
 });
 
-test('a server that refused a connection counts as cold until its cold start is over', async () => {
+test('a server that has ended counts as cold until its cold start is over', async () => {
   // Guards against full load on a server that started again and whose first heartbeat is late, also
   // after a late heartbeat of its former incarnation.
   const fixture = new GateFixture();
   fixture.recordHeartbeat();
-  const admission = await fixture.admit();
-  assert.equal(admission.kind, 'permit');
-  const refused = { hasFailed: true, latencyMs: 1, wasAnswered: false, wasConnectionRefused: true };
-  if (admission.kind === 'permit') admission.permit.release(refused);
+  fixture.gate.recordServerEnded();
   await clock.advance(1200);
   fixture.recordHeartbeat({ sequence: 2 });
   assert.equal(await admitSequentially(fixture, 40), 20);
@@ -237,13 +234,11 @@
   assert.equal(await admitSequentially(fixture, 40), 40);
 });
 
-test('the first heartbeat of a later incarnation ends the doubt about a cold server', async () => {
+test('the first heartbeat of a later incarnation lifts the cold limit', async () => {
   // Guards against a limit on a server that has said that it is warm.
   const fixture = new GateFixture();
   fixture.recordHeartbeat();
-  const admission = await fixture.admit();
-  const refused = { hasFailed: true, latencyMs: 1, wasAnswered: false, wasConnectionRefused: true };
-  if (admission.kind === 'permit') admission.permit.release(refused);
+  fixture.gate.recordServerEnded();
   fixture.recordHeartbeat({ bornAtUnixMs: 2000 });
   assert.equal(await admitSequentially(fixture, 40), 40);
 });
@@ -263,7 +258,7 @@
   const fixture = new GateFixture();
   fixture.recordHeartbeat();
   await clock.advance(100);
-  fixture.gate.recordConnectionRefused();
+  fixture.gate.recordConnectFailed();
   assert.equal(reasonOf(await fixture.admit()), RefusalReason.NotReady);
   await clock.advance(1100);
   assert.equal(reasonOf(await fixture.admit()), undefined);
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -26,8 +26,8 @@
 const queuedCallsPerSlotMax = 4;
 /** Expected wait that is always allowed; a lower limit would refuse calls in a short burst. */
 const waitAlwaysAllowedMs = 10;
-/** Time without calls after a refused connection, unless a heartbeat or an answer ends it earlier. */
-const connectionRefusedPauseMs = 1000;
+/** Time without calls after a connection that could not be opened, unless a heartbeat or an answer ends it earlier. */
+const connectFailedPauseMs = 1000;
 /** A call needs more remaining time than this share of the mean service time of its route. */
 const neededServiceTimeShare = 0.6;
 /** Service times that are older than this do not cause the refusal of a call to an idle server. */
@@ -83,7 +83,7 @@
   /** When the last service time was recorded. */
   #serviceTimeRecordedAtMs = Number.NEGATIVE_INFINITY;
 
-  #connectionRefusedAtMs = Number.NEGATIVE_INFINITY;
+  #connectFailedAtMs = Number.NEGATIVE_INFINITY;
 
   readonly #latencyTargets: RouteLatencyTargets;
 
@@ -151,13 +151,13 @@
     return undefined;
   }
 
-  /** Whether the server sent no heartbeat or answer for too long, or just refused a connection. */
+  /** Whether the server sent no heartbeat or answer for too long, or a connection to it just failed. */
   isSilent(server: LocalServer, nowMs: number): boolean {
     const lastContactAtMs = Math.max(server.heartbeatAtMs, this.#lastAnswerAtMs);
     const silenceMaxMs = silentHeartbeatIntervalsMax * this.options.heartbeatIntervalMs;
     if (nowMs - lastContactAtMs > silenceMaxMs) return true;
-    const refusedAtMs = this.#connectionRefusedAtMs;
-    return refusedAtMs > lastContactAtMs && nowMs - refusedAtMs < connectionRefusedPauseMs;
+    const failedAtMs = this.#connectFailedAtMs;
+    return failedAtMs > lastContactAtMs && nowMs - failedAtMs < connectFailedPauseMs;
   }
 
   /** Whether the server is cold, or may be. */
@@ -166,15 +166,15 @@
     return server !== undefined && this.#coldLimiter.isCold(server, monotonicNowMs());
   }
 
-  /** Records that nothing listens at the server's port, so that its incarnation has ended. */
-  recordServerDown(): void {
-    this.recordConnectionRefused();
-    this.#coldLimiter.noteConnectionRefused();
+  /** Records that a connection to the server could not be opened. */
+  recordConnectFailed(): void {
+    this.#connectFailedAtMs = monotonicNowMs();
   }
 
-  /** Records that the server refused a connection. */
-  recordConnectionRefused(): void {
-    this.#connectionRefusedAtMs = monotonicNowMs();
+  /** Records that nothing listens at the server's port, so that its incarnation has ended. */
+  recordServerEnded(): void {
+    this.recordConnectFailed();
+    this.#coldLimiter.noteServerEnded();
   }
 
   /** Starts or refuses queued calls by the current state; called each tick and on changes. */
@@ -282,7 +282,6 @@
           this.#serviceTimes.record(open.route, latencyMs, hasFailed);
           this.#serviceTimeRecordedAtMs = monotonicNowMs();
           if (wasAnswered) this.#recordAnswer(hasFailed);
-          if (result.wasConnectionRefused) this.#coldLimiter.noteConnectionRefused();
         }
         this.#startQueuedCalls();
       },
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -181,7 +181,7 @@
   gate: ServerGate,
 ): BackendCallReceiver => {
   const { address, port } = settings.backendServer;
-  const portChecker = new PortChecker({ address, port }, () => gate.recordServerDown());
+  const portChecker = new PortChecker({ address, port }, () => gate.recordServerEnded());
   return new BackendCallReceiver({
     self: {
       incarnation,
@@ -196,7 +196,7 @@
     admission: gate,
     evidence: moves.recorder,
     onBackendRefusal: (reason) => {
-      if (reason === RefusalReason.ConnectFailed) gate.recordConnectionRefused();
+      if (reason === RefusalReason.ConnectFailed) gate.recordConnectFailed();
     },
     backend: new UndiciBackendClient({
       origin: `http://${address}:${port}`,
@@ -207,7 +207,7 @@
       completesCancelledNonIdempotent: true,
       watchesAllConnections: true,
       connectTimeoutMs: backendConnectTimeoutMs,
-      onEndedByServer: () => portChecker.checkSoon(),
+      onConnectionLost: () => portChecker.checkSoon(),
     }),
   });
 };
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -143,8 +143,6 @@
     readonly wasShed?: boolean;
     /** Whether the backend server sent an answer; by default, whether the call did not fail. */
     readonly wasAnswered?: boolean;
-    /** Whether nothing listened at the port of the backend server. */
-    readonly wasConnectionRefused?: boolean;
   }): void;
 }
 
