Keep departed servers in one list, and one definition of a silent server

Change: one list of departures, the last of which is announced; `LocalServerTracker.isSilent` serves both; the monitor logs a departure only if the tracker did not know it. Comments and test names say "foreign heartbeat". No behaviour changes but the second log line.

--- a/packages/gate/src/local-server-tracker.test.ts
+++ b/packages/gate/src/local-server-tracker.test.ts
@@ -105,6 +105,7 @@
   const tracker = trackHeartbeats({});
   assert.equal(tracker.recordDeparted({ instanceId: 'i-1', bornAtUnixMs: 1000 }), true);
   assert.equal(tracker.current()?.isLeaving, true);
+  assert.equal(tracker.recordDeparted({ instanceId: 'i-1', bornAtUnixMs: 1000 }), false);
 });
 
 test('the deregistration of another server or a former incarnation is ignored', () => {
@@ -122,14 +123,14 @@
 });
 
 test('a heartbeat of another service is refused', () => {
-  // Guards against a heartbeat of another writer that replaces the server and the caller service.
+  // Guards against a foreign heartbeat that replaces the server and the caller service.
   const tracker = trackHeartbeats({});
   const foreign = createHeartbeat({ instanceId: 'i-9', bornAtUnixMs: 9000, service: 'other' });
   assert.equal(tracker.recordHeartbeat(foreign, 0), HeartbeatEffect.Refused);
   assert.equal(tracker.current()?.heartbeat.instanceId, 'i-1');
 });
 
-test('a server whose place another writer took gets it back', () => {
+test('a server that a foreign heartbeat replaced is used again', () => {
   // Guards against a server that is ignored for good after one heartbeat with a later start.
   const foreign = { instanceId: 'i-9', bornAtUnixMs: 9000, state: BackendServerState.Draining };
   const tracker = trackHeartbeats({}, foreign);
@@ -143,7 +144,7 @@
   assert.equal(tracker.current()?.isLeaving, false);
 });
 
-test('a server whose sequence number another writer used is heard again', () => {
+test('a server whose sequence number a foreign heartbeat used is used again', () => {
   // Guards against a server whose cold turns are ignored after one heartbeat with a high number.
   const tracker = trackHeartbeats({}, { sequence: 900 });
   tracker.recordHeartbeat(createHeartbeat({ sequence: 2, coldRemainingMs: 2000 }), 3000);
--- a/packages/gate/src/local-server-tracker.ts
+++ b/packages/gate/src/local-server-tracker.ts
@@ -21,7 +21,7 @@
 export enum HeartbeatEffect {
   /** Heartbeat ignored: it belongs to an earlier incarnation or arrived out of order. */
   Ignored = 'ignored',
-  /** Heartbeat refused: it contradicts the settings, so that it names no server of this node. */
+  /** Heartbeat refused: its service or address is not that of the settings. */
   Refused = 'refused',
   /** The known incarnation continues. */
   Continued = 'continued',
@@ -32,7 +32,7 @@
 }
 
 /** Heartbeat intervals without a heartbeat or an answer after which a server counts as silent. */
-export const silentHeartbeatIntervalsMax = 2.5;
+const silentHeartbeatIntervalsMax = 2.5;
 /** Departed servers that are kept, so that their late heartbeats are ignored. */
 const departedServersMax = 16;
 
@@ -45,8 +45,8 @@
 
 /**
  * Tracks the backend server beside this node by its heartbeats, which may be late, out of order, from
- * a former incarnation or from another writer. One that contradicts the settings names no server of this
- * node. One that took the place of a server whose heartbeats go on loses it once it is silent itself.
+ * a former incarnation or foreign. One that contradicts the settings is refused. A server that a foreign
+ * heartbeat replaced is used again once no heartbeat follows the foreign one.
  *
  * @example
  * const tracker = new LocalServerTracker({ endpoint, service, heartbeatIntervalMs: 1500 });
@@ -56,10 +56,8 @@
 export class LocalServerTracker {
   #server: LocalServer | undefined;
 
-  /** Start time of the last incarnation that announced its leaving, by instance id. */
-  readonly #departedBornAtUnixMs = new Map<string, number>();
-
-  #lastDeparted: DepartedServer | undefined;
+  /** Servers that announced their leaving, the latest announcement last. */
+  #departed: readonly DepartedServer[] = [];
 
   constructor(private readonly options: LocalServerTrackerOptions) {}
 
@@ -72,7 +70,7 @@
     const { endpoint, service } = this.options;
     if (heartbeat.endpoint !== endpoint || heartbeat.service !== service)
       return HeartbeatEffect.Refused;
-    const wasDeparted = this.#isDeparted(heartbeat);
+    const isDeparted = this.#isDeparted(heartbeat);
     if (heartbeat.state === BackendServerState.Draining) this.#keepDeparted(heartbeat);
     const known = this.#server;
     if (known?.heartbeat.instanceId === heartbeat.instanceId) {
@@ -80,7 +78,7 @@
       if (heartbeat.bornAtUnixMs === bornAtUnixMs)
         return this.#continueIncarnation(known, heartbeat, nowMs);
     }
-    if (wasDeparted) return HeartbeatEffect.Ignored;
+    if (isDeparted) return HeartbeatEffect.Ignored;
     if (known && !this.#mayReplace(known, heartbeat, nowMs)) return HeartbeatEffect.Ignored;
     this.#server = this.#toServer(heartbeat, false, nowMs);
     return HeartbeatEffect.Replaced;
@@ -100,45 +98,43 @@
     return isKnown;
   }
 
-  /** Records a server that left a former process of this node; returns whether it is the known one. */
+  /** Records a server that left a former process of this node; returns whether that was not known. */
   recordDeparted(departed: DepartedServer): boolean {
+    if (this.#isDeparted(departed)) return false;
     this.#keepDeparted(departed);
     const known = this.#server;
-    if (!known || !this.#isDeparted(known.heartbeat)) return false;
-    this.#server = { ...known, isLeaving: true };
+    if (known && this.#isDeparted(known.heartbeat)) this.#server = { ...known, isLeaving: true };
     return true;
   }
 
   /** Returns the server that announced its leaving last, or undefined if none did. */
   lastDeparted(): DepartedServer | undefined {
-    return this.#lastDeparted;
+    return this.#departed.at(-1);
+  }
+
+  /** Whether the server has sent neither a heartbeat nor, since `lastAnswerAtMs`, an answer for too long. */
+  isSilent({ heartbeatAtMs }: LocalServer, nowMs: number, lastAnswerAtMs = heartbeatAtMs): boolean {
+    const silenceMaxMs = silentHeartbeatIntervalsMax * this.options.heartbeatIntervalMs;
+    return nowMs - Math.max(heartbeatAtMs, lastAnswerAtMs) > silenceMaxMs;
   }
 
   #isDeparted({ instanceId, bornAtUnixMs }: DepartedServer): boolean {
-    return bornAtUnixMs <= (this.#departedBornAtUnixMs.get(instanceId) ?? -1);
+    return this.#departed.some(
+      (departed) => departed.instanceId === instanceId && departed.bornAtUnixMs >= bornAtUnixMs,
+    );
   }
 
-  #keepDeparted(departed: DepartedServer): void {
-    if (this.#isDeparted(departed)) return;
-    const { instanceId, bornAtUnixMs } = departed;
-    this.#lastDeparted = { instanceId, bornAtUnixMs };
-    this.#departedBornAtUnixMs.delete(instanceId);
-    this.#departedBornAtUnixMs.set(instanceId, bornAtUnixMs);
-    if (this.#departedBornAtUnixMs.size > departedServersMax) {
-      const oldestId = this.#departedBornAtUnixMs.keys().next().value as string;
-      this.#departedBornAtUnixMs.delete(oldestId);
-    }
+  #keepDeparted({ instanceId, bornAtUnixMs }: DepartedServer): void {
+    if (this.#isDeparted({ instanceId, bornAtUnixMs })) return;
+    const others = this.#departed.filter((departed) => departed.instanceId !== instanceId);
+    this.#departed = [...others, { instanceId, bornAtUnixMs }].slice(-departedServersMax);
   }
 
   /** A later incarnation replaces the known one, and so does another server once that is silent. */
   #mayReplace(known: LocalServer, heartbeat: BackendHeartbeat, nowMs: number): boolean {
     if (heartbeat.bornAtUnixMs > known.heartbeat.bornAtUnixMs) return true;
     const isOther = heartbeat.instanceId !== known.heartbeat.instanceId;
-    return isOther && this.#isSilent(known, nowMs);
-  }
-
-  #isSilent({ heartbeatAtMs }: LocalServer, nowMs: number): boolean {
-    return nowMs - heartbeatAtMs > silentHeartbeatIntervalsMax * this.options.heartbeatIntervalMs;
+    return isOther && this.isSilent(known, nowMs);
   }
 
   #continueIncarnation(
@@ -147,8 +143,8 @@
     nowMs: number,
   ): HeartbeatEffect {
     const isDraining = heartbeat.state === BackendServerState.Draining;
-    // A sequence number that nothing follows was not of this server.
-    const isLate = heartbeat.sequence <= known.heartbeat.sequence && !this.#isSilent(known, nowMs);
+    // A foreign heartbeat may have used a sequence number that the server itself has not reached.
+    const isLate = heartbeat.sequence <= known.heartbeat.sequence && !this.isSilent(known, nowMs);
     // A drain is final, so that a late heartbeat with it counts as well as one in order.
     if (isLate && !(isDraining && !known.isLeaving)) return HeartbeatEffect.Ignored;
     const latest = isLate ? known.heartbeat : heartbeat;
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -47,14 +47,13 @@
   readonly serverTracker = new LocalServerTracker({
     endpoint: 'e',
     service: 's',
-    heartbeatIntervalMs: 1000,
+    heartbeatIntervalMs,
   });
 
   readonly gate = new ServerGate({
     dataCentre: 'dc',
     serverTracker: this.serverTracker,
     orders: this.orders,
-    heartbeatIntervalMs,
   });
 
   recordHeartbeat(changes: Partial<BackendHeartbeat> = {}): void {
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -12,11 +12,7 @@
 } from '@sequoiafield/types';
 import { ColdLimiter } from './cold-limiter.js';
 import { createRefusal } from './create-refusal.js';
-import {
-  silentHeartbeatIntervalsMax,
-  type LocalServer,
-  type LocalServerTracker,
-} from './local-server-tracker.js';
+import type { LocalServer, LocalServerTracker } from './local-server-tracker.js';
 import { RouteLatencyTargets } from './route-latency-targets.js';
 import { ServiceTimes } from './service-times.js';
 import { CallEnd, ShedBreaker } from './shed-breaker.js';
@@ -40,7 +36,6 @@
   readonly dataCentre: string;
   readonly serverTracker: LocalServerTracker;
   readonly orders: OrdersView;
-  readonly heartbeatIntervalMs: number;
 }
 
 interface QueuedCall extends DueTimeEntry {
@@ -59,7 +54,7 @@
  * the outcome "not run" is certain and another member can be tried at no cost.
  *
  * @example
- * const gate = new ServerGate({ dataCentre, serverTracker, orders, heartbeatIntervalMs: 1500 });
+ * const gate = new ServerGate({ dataCentre, serverTracker, orders });
  * const result = await gate.admit(open, deadlineAtMs, signal);
  */
 export class ServerGate implements Admission, System {
@@ -153,9 +148,8 @@
 
   /** Whether the server sent no heartbeat or answer for too long, or a connection to it just failed. */
   isSilent(server: LocalServer, nowMs: number): boolean {
+    if (this.options.serverTracker.isSilent(server, nowMs, this.#lastAnswerAtMs)) return true;
     const lastContactAtMs = Math.max(server.heartbeatAtMs, this.#lastAnswerAtMs);
-    const silenceMaxMs = silentHeartbeatIntervalsMax * this.options.heartbeatIntervalMs;
-    if (nowMs - lastContactAtMs > silenceMaxMs) return true;
     const failedAtMs = this.#connectFailedAtMs;
     return failedAtMs > lastContactAtMs && nowMs - failedAtMs < connectFailedPauseMs;
   }
--- a/packages/mesh-node/src/heartbeat-monitor.ts
+++ b/packages/mesh-node/src/heartbeat-monitor.ts
@@ -2,7 +2,7 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
 import type { Membership } from '@sequoiafield/membership';
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
-import type { BackendDeregistration, BackendHeartbeat, DepartedServer } from '@sequoiafield/types';
+import type { BackendDeregistration, BackendHeartbeat } from '@sequoiafield/types';
 
 /** What a node announces while no backend server beside it takes new work. */
 const noServer = { service: '', version: '' };
@@ -16,8 +16,6 @@
 
   #wasSilent = false;
 
-  #appliedDeparted: DepartedServer | undefined;
-
   constructor(
     private readonly serverTracker: LocalServerTracker,
     private readonly gate: ServerGate,
@@ -72,10 +70,8 @@
   /** Applies the departure of a server that only a former process of this node received. */
   #syncDeparted(): void {
     const departed = this.membership.departedServer();
-    if (!departed || departed === this.#appliedDeparted) return;
-    this.#appliedDeparted = departed;
-    const isKnown = this.serverTracker.recordDeparted(departed);
-    this.logger.log(logEvents.backendServerLeaving, { ...departed, isKnown });
+    if (!departed || !this.serverTracker.recordDeparted(departed)) return;
+    this.logger.log(logEvents.backendServerLeaving, { ...departed });
   }
 
   #applyServerState(): void {
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -263,7 +263,6 @@
     dataCentre: settings.dataCentre,
     serverTracker,
     orders: orders.view,
-    heartbeatIntervalMs: settings.heartbeatIntervalMs,
   });
   const moves = createNodeMoves(options, membership, orders, serverTracker, gate);
   const receiver = createNodeReceiver(options, moves, serverTracker, gate);
