Decide about the versions of a service once per change, not once per call

Change: the decision is kept until members, orders or the register of the service change. The judge reads the versions from it. The rank of a service without an order has a name, which tests use in place of numbers.

--- a/packages/gate/src/cold-limiter.ts
+++ b/packages/gate/src/cold-limiter.ts
@@ -36,27 +36,27 @@
     private readonly orders: OrdersView,
   ) {}
 
-  /** Notes the end of an evacuation, during which the server may have turned cold. */
+  /** Records the end of an evacuation, during which the server may have turned cold. */
   trackEvacuation(nowMs: number): void {
     const isEvacuated = this.orders.current().evacuatedDataCentres.has(this.dataCentre);
     if (this.#wasEvacuated && !isEvacuated) this.#evacuationEndedAtMs = nowMs;
     this.#wasEvacuated = isEvacuated;
   }
 
-  /** Notes that nothing listened at the server's port. */
-  noteServerEnded(): void {
+  /** Records that nothing listened at the server's port. */
+  recordServerEnded(): void {
     this.#startedColdUntilMs = Number.POSITIVE_INFINITY;
   }
 
-  /** Notes an answer; the server started before it. */
-  noteAnswer(server: LocalServer, nowMs: number): void {
+  /** Records an answer; the server started before it. */
+  recordAnswer(server: LocalServer, nowMs: number): void {
     if (this.#startedColdUntilMs !== Number.POSITIVE_INFINITY) return;
     const coldStartMs = this.#serviceOf(server)?.coldStartMs ?? 0;
     this.#startedColdUntilMs = nowMs + coldStartMs + coldMarginMs;
   }
 
-  /** Notes a new incarnation, whose heartbeats tell whether it is cold. */
-  noteIncarnation(): void {
+  /** Records a new incarnation, whose heartbeats tell whether it is cold. */
+  recordIncarnation(): void {
     this.#startedColdUntilMs = Number.NEGATIVE_INFINITY;
   }
 
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -168,7 +168,7 @@
   /** Records that nothing listens at the server's port, so that its incarnation has ended. */
   recordServerEnded(): void {
     this.recordConnectFailed();
-    this.#coldLimiter.noteServerEnded();
+    this.#coldLimiter.recordServerEnded();
   }
 
   /** Starts or refuses queued calls by the current state; called each tick and on changes. */
@@ -200,7 +200,7 @@
     this.#serviceTimes = new ServiceTimes();
     this.#shedBreaker = new ShedBreaker();
     this.#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
-    this.#coldLimiter.noteIncarnation();
+    this.#coldLimiter.recordIncarnation();
   }
 
   /** Refuses a call for its remaining time or for the calls queued ahead of it. */
@@ -286,7 +286,7 @@
     const nowMs = monotonicNowMs();
     if (!hasFailed) this.#lastAnswerAtMs = nowMs;
     const server = this.options.serverTracker.current();
-    if (server) this.#coldLimiter.noteAnswer(server, nowMs);
+    if (server) this.#coldLimiter.recordAnswer(server, nowMs);
   }
 
   #enqueue(open: CallOpen, deadlineAtMs: number, signal: CancelSignal): Promise<AdmissionResult> {
--- a/packages/moves/src/established-versions.ts
+++ b/packages/moves/src/established-versions.ts
@@ -36,8 +36,8 @@
 }
 
 /**
- * Remembers which version of each service is established: the one that a completed move or the start of
- * the service brought in, however many servers it has now. A version that a move named is unproven
+ * Tracks which version of each service is established: the one of its last completed move, or else the
+ * one that it started with, however many servers it has now. A version that a move names is unproven
  * until the move completes.
  *
  * @example
@@ -63,12 +63,12 @@
     return isRecorded || (this.#unproven.get(service)?.has(version) ?? false);
   }
 
-  /** Notes the version that was seen to serve alone. */
+  /** Records the version that serves alone. */
   observe(service: string, version: string): void {
     this.#observed.set(service, version);
   }
 
-  /** Notes an order and its outcome; an order of the established version changes nothing. */
+  /** Records an order and its outcome; an order of the established version changes nothing. */
   trackOrder({ service, toVersion }: MoveOrder, outcome: MoveOutcome): void {
     const unproven = this.#unproven.get(service) ?? new Set();
     this.#unproven.set(service, unproven);
--- a/packages/moves/src/move-judge.ts
+++ b/packages/moves/src/move-judge.ts
@@ -1,5 +1,5 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
-import type { System, Tick } from '@sequoiafield/tables';
+import { monotonicNowMs, type System, type Tick } from '@sequoiafield/tables';
 import {
   MoveOutcome,
   RegisterKind,
@@ -17,6 +17,7 @@
   completedStep,
   lastStageIndex,
   moveStages,
+  noOrderRank,
   registerRankOf,
   rolledBackStep,
 } from './move-stages.js';
@@ -77,7 +78,7 @@
 
   readonly #moves = new Map<string, JudgedMove>();
 
-  #nextEstablishedCheckAtMs = 0;
+  #nextEstablishedCheckAtMs = monotonicNowMs() + establishedCheckIntervalMs;
 
   constructor(private readonly dependencies: MoveJudgeDependencies) {}
 
@@ -103,17 +104,16 @@
   #announceEstablished(nowMs: number): void {
     const { orders, registers, judges, policy, selfId } = this.dependencies;
     if (nowMs < this.#nextEstablishedCheckAtMs) return;
-    const isFirst = this.#nextEstablishedCheckAtMs === 0;
     this.#nextEstablishedCheckAtMs = nowMs + establishedCheckIntervalMs;
     const { configuration, moves } = orders.current();
-    if (isFirst || !configuration) return;
+    if (!configuration) return;
     for (const service of configuration.services.keys()) {
       if (moves.has(service) || registers.read(RegisterKind.Stage, service)) continue;
       if (!judges.judgesOf(service).includes(selfId)) continue;
-      const [version, ...others] = policy.serverCounts(service).keys();
+      const [version, ...others] = policy.versionsWithServers(service);
       if (version === undefined || others.length > 0) continue;
       const body: StageRegisterBody = { establishedVersion: version };
-      registers.publish({ kind: RegisterKind.Stage, key: service, rank: 0, body });
+      registers.publish({ kind: RegisterKind.Stage, key: service, rank: noOrderRank, body });
     }
   }
 
--- a/packages/moves/src/move-stages.ts
+++ b/packages/moves/src/move-stages.ts
@@ -32,6 +32,9 @@
 export const completedStep = 15;
 const stepsPerOrder = 16;
 
+/** Register rank of a service without an order. */
+export const noOrderRank = 0;
+
 /** Register rank of a step of an order; a later order of a service has a higher rank. */
 export const registerRankOf = (orderRevision: number, step: number): number =>
   orderRevision * stepsPerOrder + step;
--- a/packages/moves/src/version-policy.test.ts
+++ b/packages/moves/src/version-policy.test.ts
@@ -3,16 +3,25 @@
 import { sampleMember, SampleOrders } from '@sequoiafield/test-kit';
 import {
   MoveOutcome,
+  RegisterKind,
   type MemberRow,
   type MemberView,
   type MoveOrder,
   type MoveRecord,
   type RegisterEntry,
 } from '@sequoiafield/types';
+import { completedStep, noOrderRank, registerRankOf } from './move-stages.js';
 import { VersionPolicy } from './version-policy.js';
 
 const service = 's';
 
+const stageRegister = (rank: number, body: unknown): RegisterEntry => ({
+  kind: RegisterKind.Stage,
+  key: service,
+  rank,
+  body,
+});
+
 /** Servers and registers of one fleet, in which policies start with and without memory. */
 class VersionFleet {
   readonly orders = new SampleOrders();
@@ -21,8 +30,11 @@
 
   #rows: readonly MemberRow[] = [];
 
+  #revision = 0;
+
   /** Sets the versions of the servers, one for each. */
   setServers(...versions: readonly string[]): void {
+    this.#revision += 1;
     this.#rows = versions.map((backendVersion, index) =>
       sampleMember(`n${index}`, { service, backendVersion }),
     );
@@ -40,7 +52,7 @@
 
   createPolicy(): VersionPolicy {
     const members: MemberView = {
-      revision: () => 0,
+      revision: () => this.#revision,
       selfId: 'n0',
       fleetSize: () => this.#rows.length,
       get: () => undefined,
@@ -105,7 +117,7 @@
   assert.deepEqual(decisionsOf(fleet.createPolicy()), expected);
   fleet.orders.change({ moveRecords: new Map() });
   const body = { establishedVersion: 'v1' };
-  fleet.register = { kind: 2, key: service, rank: 20 * 16, body };
+  fleet.register = stageRegister(registerRankOf(20, 0), body);
   assert.deepEqual(decisionsOf(fleet.createPolicy()), expected);
 });
 
@@ -128,7 +140,7 @@
   decisionsOf(policy);
   fleet.setServers('v1', 'v3', 'v3');
   assert.deepEqual(decisionsOf(policy), { chosen: 'v1', allowed: ['v1'] });
-  fleet.register = { kind: 2, key: service, rank: 0, body: { establishedVersion: 'v1' } };
+  fleet.register = stageRegister(noOrderRank, { establishedVersion: 'v1' });
   assert.deepEqual(decisionsOf(fleet.createPolicy()), { chosen: 'v1', allowed: ['v1'] });
 });
 
@@ -156,17 +168,17 @@
   fleet.order('v2', 10);
   const outcome = MoveOutcome.Running;
   fleet.record({ toVersion: 'v2', outcome, fromVersion: 'v1', revision: 12 });
-  fleet.register = { kind: 2, key: service, rank: 10 * 16 + 15, body: null };
+  fleet.register = stageRegister(registerRankOf(10, completedStep), null);
   assert.deepEqual(decisionsOf(fleet.createPolicy()), { chosen: 'v2', allowed: ['v2'] });
 });
 
-test('a node that hears of the next move before its order sends nothing to a rolled-back version', () => {
+test('a node that learns of the next move before its order sends nothing to a rolled-back version', () => {
   // Guards against a register of a later move that replaces the one that says of the rollback.
   const { fleet } = createFleetAfterRollback();
   const outcome = MoveOutcome.Running;
   fleet.record({ toVersion: 'v2', outcome, fromVersion: 'v1', revision: 12 });
   const body = { establishedVersion: 'v1' };
-  fleet.register = { kind: 2, key: service, rank: 20 * 16, body };
+  fleet.register = stageRegister(registerRankOf(20, 0), body);
   const policy = fleet.createPolicy();
   assert.deepEqual(decisionsOf(policy), { chosen: 'v1', allowed: ['v1'] });
   assert.equal(policy.choose(service, 0), 'v1');
--- a/packages/moves/src/version-policy.ts
+++ b/packages/moves/src/version-policy.ts
@@ -3,8 +3,10 @@
   RegisterKind,
   takesNewWork,
   type MemberView,
+  type MeshOrders,
   type MoveOrder,
   type OrdersView,
+  type RegisterEntry,
   type RegisterGossip,
 } from '@sequoiafield/types';
 import { EstablishedVersions, isRecordOf } from './established-versions.js';
@@ -32,6 +34,17 @@
   readonly stage: number;
 }
 
+/** Decision about the versions of one service, and what it was made from. */
+interface ServiceDecision {
+  readonly membersRevision: number;
+  readonly orders: MeshOrders;
+  readonly register: RegisterEntry | undefined;
+  readonly counts: ReadonlyMap<string, number>;
+  readonly order: MoveOrder | undefined;
+  readonly progress: MoveProgress | undefined;
+  readonly oldVersion: string | undefined;
+}
+
 /**
  * Decides which versions of a service may get calls, and in which shares. A version that appears
  * besides the established one without an order gets no calls, since its order may not be received yet.
@@ -39,6 +52,8 @@
 export class VersionPolicy {
   readonly #established: EstablishedVersions;
 
+  readonly #decisions = new Map<string, ServiceDecision>();
+
   constructor(private readonly dependencies: VersionPolicyDependencies) {
     this.#established = new EstablishedVersions(dependencies);
   }
@@ -61,22 +76,17 @@
 
   /** Chooses a new call's version; `roll` is uniform in [0, 1), and 1 yields the old version. */
   choose(service: string, roll: number): string | undefined {
-    const counts = this.serverCounts(service);
-    const order = this.dependencies.orders.current().moves.get(service);
-    const progress = order && this.progressOf(order);
-    const old = this.#oldVersion(service, counts, order, progress);
-    if (!order || !progress || !counts.has(order.toVersion)) return old;
+    const { counts, order, progress, oldVersion } = this.#decisionOf(service);
+    if (!order || !progress || !counts.has(order.toVersion)) return oldVersion;
     if (progress.outcome === MoveOutcome.Completed) return order.toVersion;
     const isNew = progress.outcome === MoveOutcome.Running && roll < progress.share;
-    return isNew ? order.toVersion : old;
+    return isNew ? order.toVersion : oldVersion;
   }
 
   /** True if a version may get new calls. */
   isAllowed(service: string, version: string): boolean {
-    const order = this.dependencies.orders.current().moves.get(service);
-    const progress = order && this.progressOf(order);
-    const old = this.#oldVersion(service, this.serverCounts(service), order, progress);
-    if (version === old) return true;
+    const { order, progress, oldVersion } = this.#decisionOf(service);
+    if (version === oldVersion) return true;
     if (version !== order?.toVersion || !progress) return false;
     return progress.outcome === MoveOutcome.Running && progress.share > 0;
   }
@@ -86,8 +96,38 @@
     return this.#established.of(service);
   }
 
+  /** Versions whose servers take new work. */
+  versionsWithServers(service: string): readonly string[] {
+    return [...this.#decisionOf(service).counts.keys()];
+  }
+
+  #ended(outcome: MoveOutcome): MoveProgress {
+    return { outcome, share: outcome === MoveOutcome.Completed ? 1 : 0, stage: 0 };
+  }
+
+  /** Returns the last decision until members, orders or the register of the service change. */
+  #decisionOf(service: string): ServiceDecision {
+    const membersRevision = this.dependencies.members.revision();
+    const orders = this.dependencies.orders.current();
+    const register = this.dependencies.registers.read(RegisterKind.Stage, service);
+    const known = this.#decisions.get(service);
+    const isCurrent =
+      known?.membersRevision === membersRevision &&
+      known.orders === orders &&
+      known.register === register;
+    if (isCurrent) return known;
+    const counts = this.#serverCounts(service);
+    const order = orders.moves.get(service);
+    const progress = order && this.progressOf(order);
+    const oldVersion = this.#chooseOldVersion(service, counts, order, progress);
+    const inputs = { membersRevision, orders, register };
+    const decision = { ...inputs, counts, order, progress, oldVersion };
+    this.#decisions.set(service, decision);
+    return decision;
+  }
+
   /** Number of servers that take new work, by version. */
-  serverCounts(service: string): ReadonlyMap<string, number> {
+  #serverCounts(service: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
     for (const { state, backendVersion } of this.dependencies.members.ofService(service)) {
       if (!takesNewWork(state)) continue;
@@ -96,11 +136,7 @@
     return counts;
   }
 
-  #ended(outcome: MoveOutcome): MoveProgress {
-    return { outcome, share: outcome === MoveOutcome.Completed ? 1 : 0, stage: 0 };
-  }
-
-  #oldVersion(
+  #chooseOldVersion(
     service: string,
     counts: ReadonlyMap<string, number>,
     order: MoveOrder | undefined,
