--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -201,7 +201,7 @@
       if (hasDeparted) gossip.spreadDeparture();
       else gossip.spreadRow(gossip.ownRow(), true);
     },
-    flush: () => socket.flush?.() ?? Promise.resolve(),
+    flush: () => socket.flush(),
     departedServer: () => self.departedServer,
     announceConfigVersion: () => {
       for (const witness of peerSelector.pickVersionWitnesses(witnessCount)) {
--- a/packages/node/src/mapped-port.ts
+++ b/packages/node/src/mapped-port.ts
@@ -15,6 +15,10 @@
     this.#socket.send(bytes, port, address);
   }
 
+  flush(): Promise<void> {
+    return this.#socket.flush();
+  }
+
   onMessage(handler: (bytes: Uint8Array) => void): void {
     this.#socket.onMessage(handler);
   }
--- a/packages/test-kit/src/fake-network.ts
+++ b/packages/test-kit/src/fake-network.ts
@@ -51,6 +51,7 @@
   port(address: string): {
     bind(port: number): Promise<number>;
     send(bytes: Uint8Array, port: number, to: string): void;
+    flush(): Promise<void>;
     onMessage(handler: DatagramHandler): void;
     close(): void;
   } {
@@ -59,6 +60,7 @@
     return {
       bind: (port) => Promise.resolve(port || 7000),
       send: (bytes, _, to) => this.#sendDatagram(node, to, Uint8Array.from(bytes)),
+      flush: () => Promise.resolve(),
       onMessage: (handler) => {
         node.receive = handler;
       },
