Read configurations that leave out optional fields

Cause: each node refused the whole configuration of a deployment whose services state no cold start, since the decoder demanded cold_start_s and cold_per_s; an unknown kind of route did the same.

A service without cold limits has none (a limit of 0 allowed one request a second) and is marked CapacityMode.Learned. An unknown kind of route counts as not idempotent and is logged once; 'upload' is known. Accounts are decoded, with hashes of their keys.

--- a/packages/gate/src/cold-limiter.ts
+++ b/packages/gate/src/cold-limiter.ts
@@ -63,7 +63,8 @@
   /** Counts a call towards the limit; returns a refusal if a cold server has reached it. */
   count(server: LocalServer, nowMs: number): CallRefusal | undefined {
     const limit = this.#limit(server);
-    if (this.isCold(server, nowMs) && this.#requestWindow.count(nowMs) >= limit) {
+    const isLimited = limit !== undefined && this.isCold(server, nowMs);
+    if (isLimited && this.#requestWindow.count(nowMs) >= limit) {
       const retryAfterMs = this.#requestWindow.waitMs(nowMs, limit);
       return createRefusal(RefusalReason.ColdServer, 'the cold server has its share', retryAfterMs);
     }
@@ -80,9 +81,13 @@
     return nowMs < this.#evacuationEndedAtMs + coldStartMs + coldMarginMs;
   }
 
-  #limit(server: LocalServer): number {
+  /** Returns the limit of requests per window, or undefined if the service has none. */
+  #limit(server: LocalServer): number | undefined {
+    const service = this.#serviceOf(server);
     // Without a configuration the limit is unknown; one request per window does no harm.
-    return Math.max(1, Math.floor(this.#serviceOf(server)?.coldRequestsPerS ?? 1));
+    if (!service) return 1;
+    const { coldRequestsPerS } = service;
+    return coldRequestsPerS === undefined ? undefined : Math.max(1, Math.floor(coldRequestsPerS));
   }
 
   #serviceOf({ heartbeat }: LocalServer): MeshService | undefined {
--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -130,6 +130,12 @@
     'orderMalformed',
     'An entry that the operators wrote cannot be decoded; it is ignored, and the others stay active.',
   ),
+  orderValueUnknown: defineEvent(
+    1309,
+    EventLevel.Warn,
+    'orderValueUnknown',
+    'An entry has a value that this build does not know; the rest of the entry is active. Logged once a value.',
+  ),
   ordersInForce: defineEvent(
     1303,
     EventLevel.Info,
--- a/packages/routing/src/mesh/mesh-router.test.ts
+++ b/packages/routing/src/mesh/mesh-router.test.ts
@@ -24,6 +24,8 @@
   host: 'shop.example',
   pathPrefix,
   isIdempotent: true,
+  isPublic: false,
+  hasLargeBodies: false,
   timeoutMs: 500,
   attemptsMax: 2,
   targetLatencyMs: 200,
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -43,3 +43,10 @@
   type WriteResult,
 } from './range-store.js';
 export { CountedRangeStore, type StoreCallCounters } from './counted-range-store.js';
+export type {
+  LeasedWrite,
+  LeaseStore,
+  StoreLease,
+  StoreTransaction,
+  TransactionResult,
+} from './lease-store.js';
--- a/packages/test-kit/src/mesh-samples.ts
+++ b/packages/test-kit/src/mesh-samples.ts
@@ -1,4 +1,5 @@
 import {
+  CapacityMode,
   MemberState,
   type CallOpen,
   type MemberRow,
@@ -12,7 +13,16 @@
     version: 1,
     routes: [],
     services: new Map([
-      ['s', { name: 's', connectionsMax: 100, coldStartMs: 3000, coldRequestsPerS: 20 }],
+      [
+        's',
+        {
+          name: 's',
+          connectionsMax: 100,
+          capacityMode: CapacityMode.Declared,
+          coldStartMs: 3000,
+          coldRequestsPerS: 20,
+        },
+      ],
     ]),
     limits: {
       headerMaxBytes: 16_384,
@@ -39,6 +49,7 @@
   ) {
     const routes = Object.entries(targetLatenciesMs).map(([name, targetLatencyMs]) => ({
       ...{ name, targetLatencyMs, host: 'h', pathPrefix: `/${name}/`, isIdempotent: true },
+      ...{ isPublic: false, hasLargeBodies: false },
       ...{ timeoutMs: 1000, attemptsMax: 2, rank: ranks[name] ?? 1 },
       destinations: [{ service: 's', weight: 1 }],
     }));
--- a/packages/types/src/calls.ts
+++ b/packages/types/src/calls.ts
@@ -17,6 +17,8 @@
   readonly service: string;
   /** Service of the machine on which the call began; empty if unknown. */
   readonly callerService?: string;
+  /** Client account whose key the request has; left out if it has none. */
+  readonly account?: string;
   readonly route: string;
   /** Backend version that the sender chose. */
   readonly backendVersion: string;
--- a/packages/types/src/mesh.ts
+++ b/packages/types/src/mesh.ts
@@ -12,6 +12,10 @@
   /** Begins and ends with a slash. */
   readonly pathPrefix: string;
   readonly isIdempotent: boolean;
+  /** Whether requests need no key of a client account. */
+  readonly isPublic: boolean;
+  /** Whether requests have large bodies, which are streamed. */
+  readonly hasLargeBodies: boolean;
   readonly timeoutMs: number;
   /** Maximum number of backend servers that one request may be sent to. */
   readonly attemptsMax: number;
@@ -22,14 +26,32 @@
   readonly destinations: readonly WeightedDestination[];
 }
 
+/** How a node knows the calls that a backend server of a service takes well. */
+export enum CapacityMode {
+  /** The operators state the limits of a cold server; a warm one takes as many calls as its slots. */
+  Declared = 'declared',
+  /** The operators state no limits, so that the node beside each server learns them. */
+  Learned = 'learned',
+}
+
 /** Settings of the backend servers of a service, as the operators set them. */
 export interface MeshService {
   readonly name: string;
   readonly connectionsMax: number;
-  /** Time for which a backend server stays cold after it started. */
+  readonly capacityMode: CapacityMode;
+  /** Time for which a backend server stays cold after it started; 0 if the operators state none. */
   readonly coldStartMs: number;
-  /** Requests per second that a cold backend server handles. */
-  readonly coldRequestsPerS: number;
+  /** Requests per second that a cold backend server handles; undefined if there is no limit. */
+  readonly coldRequestsPerS: number | undefined;
+}
+
+/** Client account whose keys give access to the routes that are not public. */
+export interface ClientAccount {
+  readonly name: string;
+  /** SHA-256 of each key as hexadecimal text. */
+  readonly keyHashes: readonly string[];
+  /** Rank of the account's requests, which takes precedence over that of the route. */
+  readonly rank?: number;
 }
 
 /** Limits of a client's connection: sizes, time to send the headers and idle time. */
@@ -46,6 +68,8 @@
   readonly routes: readonly HostRoute[];
   readonly services: ReadonlyMap<string, MeshService>;
   readonly limits: ClientLimits;
+  /** Client accounts; undefined if requests need no key. */
+  readonly accounts?: readonly ClientAccount[];
 }
 
 /** Order to move a service's traffic to another backend version. */
