Count the latency target from the caller's first attempt, and read the configuration sooner after a start

Cause: on services without declared limits a call that had been refused was taken for a new one wherever it came next, so that it waited again as long as its target allows. After a power loss of all nodes the first read of the configuration waited until no new member had appeared for 300 ms, 0.9 s in the trace.

Change: for these services an open frame states when the answer is due; the gate orders and limits waits by it, and after two members with too long queues the call may be late. Scheduling is a module of its own (packages/gate/src/scheduling). Watchers read 250 ms after they know another node at the latest. The retry hint after a server shed a call is 20 ms there.

--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -3,6 +3,7 @@
 import { CallError } from '@sequoiafield/errors';
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
 import {
+  CapacityMode,
   RefusalReason,
   type CallRefusal,
   type CallResult,
@@ -14,13 +15,15 @@
 import { AnswerWriter } from './answer-writer.js';
 import { ArrivalCheck } from './arrival-check.js';
 import type { CallProxyOptions } from './call-proxy-options.js';
-import { RetryingCall, type RoutedRequest } from './retrying-call.js';
+import type { RoutedRequest } from './create-open.js';
+import { RetryingCall } from './retrying-call.js';
 import { CallScope } from './call-scope.js';
 import type { CallCounters } from './call-counters.js';
 import { DefaultCallProtocol, type CallProtocol } from './call-protocol.js';
+import { CallerDeadlines } from './caller-deadlines.js';
 import { closeWhenQuiet } from './close-when-quiet.js';
 import { forwardHeaders } from './headers.js';
-import { pathOf, readDeadlineMs, readRequestId } from './inbound-request.js';
+import { pathOf, readCallerDeadlineMs, readDeadlineMs, readRequestId } from './inbound-request.js';
 import { LateRequestGuard } from './late-request-guard.js';
 import { createNotRunRefusal, toRefusalResult, httpStatusOf } from './refusals.js';
 import { RequestBodyReader, type RequestBody } from './request-body.js';
@@ -59,6 +62,8 @@
 
   readonly #arrivalCheck: ArrivalCheck;
 
+  readonly #callerDeadlines = new CallerDeadlines();
+
   #requestCount = 0;
 
   constructor(private readonly options: CallProxyOptions) {
@@ -226,7 +231,10 @@
     }
     const headers = forwardHeaders(request.rawHeaders, this.#protocol.nodeOnlyRequestHeaders);
     const configVersion = this.options.snapshots.current()?.configVersion ?? 0;
-    const call = { requestId, match, method, path, headers, body, configVersion, deadlineAtMs };
+    const call = {
+      ...{ requestId, match, method, path, headers, body, configVersion, deadlineAtMs },
+      answerDueAtMs: this.#answerDueAtMs(request, match, arrivedAtMs),
+    };
     this.counters.callsStarted += 1;
     const retryingCall = new RetryingCall(
       call,
@@ -241,6 +249,24 @@
     return result;
   }
 
+  /**
+   * Time at which the answer is due, counted from the caller's first attempt; undefined if the service
+   * does not schedule calls by it.
+   */
+  #answerDueAtMs(
+    request: IncomingMessage,
+    { route, service }: RouteMatch,
+    arrivedAtMs: number,
+  ): number | undefined {
+    if (service.capacityMode !== CapacityMode.Learned || route.targetLatencyMs === undefined)
+      return undefined;
+    const dueAtMs = arrivedAtMs + route.targetLatencyMs;
+    const callerDeadlineMs = readCallerDeadlineMs(request, this.#protocol);
+    if (callerDeadlineMs === undefined) return dueAtMs;
+    this.#callerDeadlines.record(route.name, callerDeadlineMs);
+    return dueAtMs - this.#callerDeadlines.waitedMs(route.name, callerDeadlineMs);
+  }
+
   #reportEnd(
     call: RoutedRequest,
     retryingCall: RetryingCall,
--- a/packages/calls/src/inbound-request.ts
+++ b/packages/calls/src/inbound-request.ts
@@ -4,6 +4,17 @@
 /** Longest deadline that a caller may request; attempt ids are stored for the same time. */
 const deadlineMaxMs = 5 * 60 * 1000;
 
+/** Returns the time that the caller states to wait, or undefined if it states no number. */
+export const readCallerDeadlineMs = (
+  request: IncomingMessage,
+  protocol: CallProtocol,
+): number | undefined => {
+  const header = request.headers[protocol.deadlineHeader];
+  if (typeof header !== 'string' || header.trim() === '') return undefined;
+  const deadlineMs = Number(header);
+  return Number.isFinite(deadlineMs) ? deadlineMs : undefined;
+};
+
 /**
  * Returns the time that a call may take: the route's deadline, or the caller's if that is shorter.
  * A header that is not a number is ignored.
@@ -16,11 +27,8 @@
   routeDeadlineMs: number,
   protocol: CallProtocol,
 ): number => {
-  const header = request.headers[protocol.deadlineHeader];
-  const callerDeadlineMs =
-    typeof header === 'string' && header.trim() !== '' ? Number(header) : NaN;
   const limitMs = Math.min(routeDeadlineMs, deadlineMaxMs);
-  return Number.isFinite(callerDeadlineMs) ? Math.min(callerDeadlineMs, limitMs) : limitMs;
+  return Math.min(readCallerDeadlineMs(request, protocol) ?? limitMs, limitMs);
 };
 
 /** Returns the request id that the caller sent, or undefined. */
--- a/packages/calls/src/retrying-call.test.ts
+++ b/packages/calls/src/retrying-call.test.ts
@@ -11,7 +11,8 @@
   type MemberRow,
 } from '@sequoiafield/types';
 import type { CallProxyOptions } from './call-proxy-options.js';
-import { RetryingCall, type RoutedRequest } from './retrying-call.js';
+import type { RoutedRequest } from './create-open.js';
+import { RetryingCall } from './retrying-call.js';
 import { CallCounters } from './call-counters.js';
 import { ReachedServerRetryPolicy } from './reached-server-retry-policy.js';
 import { toRefusalResult, createNotRunRefusal } from './refusals.js';
--- a/packages/calls/src/retrying-call.ts
+++ b/packages/calls/src/retrying-call.ts
@@ -8,32 +8,25 @@
   type CallResult,
   type CancelSignal,
   type MemberRow,
-  type RouteMatch,
 } from '@sequoiafield/types';
 import { BodyChannel } from '@sequoiafield/transport';
 import type { CallProxyOptions } from './call-proxy-options.js';
 import type { CallCounters } from './call-counters.js';
-import type { HeaderPair } from './call-protocol.js';
+import { findHeader } from './call-protocol.js';
+import { CallLateness } from './call-lateness.js';
+import { createOpen, type RoutedRequest } from './create-open.js';
 import { nonRetryableReasons, hasReachedServer } from './reached-server-retry-policy.js';
 import { createNotRunRefusal, toRefusalResult, createUnknownOutcomeRefusal } from './refusals.js';
-import type { RequestBody } from './request-body.js';
 import type { RetryPolicy } from './retry-policy.js';
 
-/** One inbound call, as read from its caller and matched to a route. */
-export interface RoutedRequest {
-  readonly requestId: string;
-  readonly match: RouteMatch;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly HeaderPair[];
-  readonly body: RequestBody;
-  readonly configVersion: number;
-  readonly deadlineAtMs: number;
-}
-
 const serverErrorStatusMin = 500;
 /** Retry delay if a refusal has none; a member that refused is chosen again after about as long. */
 const retryAfterDefaultMs = 100;
+/**
+ * Retry delay after a backend server shed a call and the retry budget is spent: other servers may have
+ * room at once, and an answer within the latency target is still possible.
+ */
+const retryAfterShedMs = 20;
 /**
  * Attempts of one call at members that may have a free slot and refuse the call if they have none.
  * A further attempt waits in the queue of the member with the shortest expected time.
@@ -51,6 +44,8 @@
 
   #unqueuedAttempts = 0;
 
+  readonly #lateness: CallLateness;
+
   readonly #refusedVersions = new Set<string>();
 
   #sentToServers = 0;
@@ -79,6 +74,7 @@
     private readonly signal: CancelSignal,
   ) {
     this.#roll = options.random.next();
+    this.#lateness = new CallLateness(call.answerDueAtMs !== undefined, this.#triedMemberIds);
   }
 
   /**
@@ -88,7 +84,7 @@
     const { match } = this.call;
     this.options.router.recordFirstAttempt(match.service.name);
     for (;;) {
-      const result = await this.#attempt();
+      const result = (await this.#attempt()) ?? (await this.#attemptLate());
       if (!result) return this.#finalResult(this.#lastRefusal ?? this.#createNoMemberRefusal());
       if (result.kind === 'answer') {
         this.#sentToServers += 1;
@@ -107,6 +103,11 @@
     }
   }
 
+  /** Lets the call wait at a member that was too full to answer it in time, if there is one. */
+  async #attemptLate(): Promise<CallResult | undefined> {
+    return this.#lateness.allow() ? this.#attempt() : undefined;
+  }
+
   /** Ids of the members that were tried, in order. */
   get memberIds(): readonly string[] {
     return this.#memberIds;
@@ -125,7 +126,10 @@
   /** Adds a randomized retry delay, so that refused callers do not all retry at the same time. */
   #withRetryAfter(refusal: CallRefusal): CallRefusal {
     if (nonRetryableReasons.has(refusal.reason)) return refusal;
-    const retryAfterMs = refusal.retryAfterMs ?? retryAfterDefaultMs;
+    const wasShed = refusal.reason === RefusalReason.BackendServerRefused;
+    const isTimely = this.call.answerDueAtMs !== undefined;
+    const defaultMs = wasShed && isTimely ? retryAfterShedMs : retryAfterDefaultMs;
+    const retryAfterMs = refusal.retryAfterMs ?? defaultMs;
     return { ...refusal, retryAfterMs: retryAfterMs * (0.5 + this.options.random.next()) };
   }
 
@@ -179,16 +183,15 @@
   /** Sends the call to one more member; returns undefined if no member is left. */
   async #attempt(): Promise<CallResult | undefined> {
     const { router } = this.options;
-    const { route, service } = this.call.match;
     let version = this.#chooseVersion();
     this.#version = version;
-    let member = router.choose(service.name, version, this.#triedMemberIds, route.name);
+    let member = this.#choose(version);
     if (!member) {
       // Falls back only to the old version; the reverse would raise the new version's share.
       const oldVersion = this.#oldVersion();
       if (oldVersion === undefined || oldVersion === version) return undefined;
       version = oldVersion;
-      member = router.choose(service.name, version, this.#triedMemberIds, route.name);
+      member = this.#choose(version);
       if (!member) return undefined;
     }
     this.#version = version;
@@ -198,11 +201,25 @@
     const mayWait = this.#mayWaitAt(member);
     router.begin(member.id);
     const startedAtMs = monotonicNowMs();
-    const result = await this.#send(member, this.#createOpen(member, version, mayWait));
+    const { mayBeLate } = this.#lateness;
+    const open = createOpen(this.call, this.options, member, version, { mayWait, mayBeLate });
+    const result = await this.#send(member, open);
     if (result.kind === 'answer') return this.#onAnswer(result.answer, member, startedAtMs);
     return this.#onRefusal(result.refusal, member, version, startedAtMs);
   }
 
+  #choose(version: string): MemberRow | undefined {
+    const { route, service } = this.call.match;
+    const { router } = this.options;
+    return router.choose(
+      service.name,
+      version,
+      this.#triedMemberIds,
+      route.name,
+      this.#lateness.mayBeLate,
+    );
+  }
+
   /**
    * Whether the call may wait for a slot of the member. The first attempts ask members that may have a
    * free slot not to queue the call, so that it finds a free slot elsewhere if they have none.
@@ -235,32 +252,6 @@
     return { ...createNotRunRefusal(RefusalReason.QueueFull, detail), retryAfterMs };
   }
 
-  #createOpen(member: MemberRow, backendVersion: string, mayWait: boolean): CallOpen {
-    const { call, options } = this;
-    const { route, service } = call.match;
-    return {
-      requestId: call.requestId,
-      attempt: {
-        senderId: options.self.id,
-        senderIncarnation: options.self.incarnation,
-        sequence: options.sequence.next(),
-        receiverIncarnation: member.incarnation,
-      },
-      service: service.name,
-      callerService: options.callerService?.() ?? '',
-      route: route.name,
-      backendVersion,
-      configVersion: call.configVersion,
-      priority: service.priority,
-      isIdempotent: route.isIdempotent,
-      deadlineAtMs: call.deadlineAtMs,
-      method: call.method,
-      path: call.path,
-      headers: call.headers,
-      mayWait,
-    };
-  }
-
   #send(member: MemberRow, open: CallOpen): Promise<CallResult> {
     const { body } = this.call;
     if (member.id !== this.options.self.id) {
@@ -287,12 +278,14 @@
     return { kind: 'answer', answer };
   }
 
-  /** Bytes of both bodies, or undefined if either is a stream. */
+  /** Bytes of both bodies, or undefined if the length of either is unknown. */
   #countBodyBytes(answer: CallAnswer): number | undefined {
-    const { body } = this.call;
-    const answerLength = answer.headers.find(([name]) => name === 'content-length')?.[1];
-    if (answerLength === undefined || body instanceof BodyChannel) return undefined;
-    return (body?.byteLength ?? 0) + Number(answerLength);
+    const { body, headers } = this.call;
+    const answerLength = findHeader(answer.headers, 'content-length');
+    const bodyLength =
+      body instanceof BodyChannel ? findHeader(headers, 'content-length') : (body?.byteLength ?? 0);
+    if (answerLength === undefined || bodyLength === undefined) return undefined;
+    return Number(bodyLength) + Number(answerLength);
   }
 
   #onRefusal(
@@ -320,6 +313,7 @@
       this.#triedMemberIds.delete(member.id);
       this.#attemptCount -= 1;
     }
+    if (refusal.reason === RefusalReason.QueueFull) this.#lateness.recordFull(member.id);
     this.options.router.report({
       memberId: member.id,
       service: service.name,
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -16,21 +16,11 @@
 import { RouteLatencyTargets } from './route-latency-targets.js';
 import { ServiceTimes } from './service-times.js';
 import { CallEnd, ShedBreaker } from './shed-breaker.js';
-import { DueTimeQueue, type DueTimeEntry } from './due-time-queue.js';
+import type { CallScheduler, ServerObservation } from './scheduling/call-scheduler.js';
+import { DueTimeScheduler } from './scheduling/due-time-scheduler.js';
 
-/** Queued calls per slot at most; usually the limit on the expected wait refuses calls earlier. */
-const queuedCallsPerSlotMax = 4;
-/** Expected wait that is always allowed; a lower limit would refuse calls in a short burst. */
-const waitAlwaysAllowedMs = 10;
 /** Time without calls after a connection that could not be opened, unless a heartbeat or an answer ends it earlier. */
 const connectFailedPauseMs = 1000;
-/** A call needs more remaining time than this share of the mean service time of its route. */
-const neededServiceTimeShare = 0.6;
-/** Service times that are older than this do not cause the refusal of a call to an idle server. */
-const serviceTimesMaxAgeMs = 1000;
-/** Shortest retry hint; a caller's round trip takes longer than a shorter one. */
-const retryAfterMinMs = 20;
-
 /** Options of `ServerGate`. */
 export interface ServerGateOptions {
   readonly dataCentre: string;
@@ -38,12 +28,6 @@
   readonly orders: OrdersView;
 }
 
-interface QueuedCall extends DueTimeEntry {
-  readonly open: CallOpen;
-  readonly deadlineAtMs: number;
-  settle(result: AdmissionResult): void;
-}
-
 const callEndOf = (hasFailed: boolean, wasShed: boolean, latencyMs: number): CallEnd => {
   if (wasShed) return CallEnd.Shed;
   return hasFailed || latencyMs === 0 ? CallEnd.Other : CallEnd.Answered;
@@ -63,7 +47,7 @@
   /** Refusals since the start of the process, by reason. */
   readonly refusals = new Map<RefusalReason, number>();
 
-  readonly #queue = new DueTimeQueue<QueuedCall>();
+  readonly #scheduler: CallScheduler;
 
   #serviceTimes = new ServiceTimes();
 
@@ -87,12 +71,13 @@
   constructor(private readonly options: ServerGateOptions) {
     this.#latencyTargets = new RouteLatencyTargets(options.orders);
     this.#coldLimiter = new ColdLimiter(options.dataCentre, options.orders);
+    this.#scheduler = new DueTimeScheduler(this.#observation(), this.#latencyTargets);
   }
 
   load(): LoadReport {
     return {
       runningCalls: this.#running,
-      queuedCalls: this.#queue.size,
+      queuedCalls: this.#scheduler.size,
       slotsNow: this.options.serverTracker.current()?.heartbeat.slots ?? 0,
       meanServiceMs: this.#serviceTimes.meanMs,
       failureRatio: this.#serviceTimes.failureRatio,
@@ -107,11 +92,12 @@
     const nowMs = monotonicNowMs();
     const server = this.options.serverTracker.current();
     const refused =
-      this.currentRefusal(open.service) ?? this.#callRefusal(open, deadlineAtMs, nowMs);
+      this.currentRefusal(open.service) ??
+      this.#scheduler.checkArrival({ open, deadlineAtMs }, nowMs);
     if (refused || !server) {
       return this.#refuse(refused ?? createRefusal(RefusalReason.NotReady, 'no server is known'));
     }
-    if (this.#running < server.heartbeat.slots && this.#queue.size === 0) {
+    if (this.#running < server.heartbeat.slots && this.#scheduler.size === 0) {
       const coldRefusal = this.#coldLimiter.count(server, nowMs);
       return coldRefusal
         ? this.#refuse(coldRefusal)
@@ -175,17 +161,13 @@
   run(tick: Pick<Tick, 'nowMs'>): void {
     this.#coldLimiter.trackEvacuation(tick.nowMs);
     this.#resetOnNewIncarnation();
-    for (const call of [...this.#queue.all()]) {
+    for (const call of this.#scheduler.all()) {
+      const areOthersQueued = this.#scheduler.size > 1;
       const refused =
         this.currentRefusal(call.open.service) ??
-        this.#deadlineRefusal(
-          call.open,
-          call.deadlineAtMs - tick.nowMs,
-          tick.nowMs,
-          this.#queue.size > 1,
-        );
+        this.#scheduler.checkWaiting(call, tick.nowMs, areOthersQueued);
       if (refused) {
-        this.#queue.remove(call);
+        this.#scheduler.remove(call);
         call.settle(this.#refuse(refused));
       }
     }
@@ -203,60 +185,25 @@
     this.#coldLimiter.recordIncarnation();
   }
 
-  /** Refuses a call for its remaining time or for the calls queued ahead of it. */
-  #callRefusal(open: CallOpen, deadlineAtMs: number, nowMs: number): CallRefusal | undefined {
-    const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 1;
-    const { targetMs, dueInMs } = this.#latencyTargets.get(open.route);
-    const waitMs = this.#running < slots ? 0 : this.#expectedWaitMs(nowMs + dueInMs, slots);
-    // Under overload a longer wait serves no more calls, but makes every answer late.
-    const waitMaxMs = Math.max(
-      waitAlwaysAllowedMs,
-      targetMs - this.#serviceTimes.routeP90Ms(open.route),
-    );
-    if (waitMs > waitMaxMs || this.#queue.size >= slots * queuedCallsPerSlotMax) {
-      const detail = `expected wait ${Math.round(waitMs)} ms, ${this.#queue.size} calls wait`;
-      return createRefusal(RefusalReason.QueueFull, detail, this.#retryAfterMs());
-    }
-    return this.#deadlineRefusal(
-      open,
-      deadlineAtMs - nowMs - waitMs,
-      nowMs,
-      this.#running >= slots,
-    );
-  }
-
-  /** Expected time to a slot: one running call has to end, and the calls due before have to run. */
-  #expectedWaitMs(dueAtMs: number, slots: number): number {
-    const callsAhead = this.#queue.callsAhead(dueAtMs);
-    const timesAheadMs = callsAhead.map(({ open }) => this.#serviceTimes.routeMeanMs(open.route));
-    return timesAheadMs.reduce((sum, timeMs) => sum + timeMs, this.#serviceTimes.meanMs) / slots;
-  }
-
-  /**
-   * Refuses a call whose remaining time is too short. While other calls are queued, a call needs the
-   * time that most calls of its route take, since its slot could serve a call that ends in time.
-   */
-  #deadlineRefusal(
-    open: CallOpen,
-    remainingMs: number,
-    nowMs: number,
-    areOthersQueued: boolean,
-  ): CallRefusal | undefined {
-    // Only a new answer can show that a slow server has recovered.
-    const areServiceTimesOld = nowMs - this.#serviceTimeRecordedAtMs > serviceTimesMaxAgeMs;
-    if (this.#running === 0 && areServiceTimesOld && remainingMs > 0) return undefined;
-    const neededMs = areOthersQueued
-      ? this.#serviceTimes.routeP90Ms(open.route)
-      : neededServiceTimeShare * this.#serviceTimes.routeMeanMs(open.route);
-    if (remainingMs > neededMs) return undefined;
-    const detail = `${Math.round(remainingMs)} ms are left after the wait, ${Math.round(neededMs)} ms needed`;
-    return createRefusal(RefusalReason.DeadlineUnreachable, detail, this.#retryAfterMs());
-  }
-
-  /** Expected time until the calls that are queued now have started. */
-  #retryAfterMs(): number {
-    const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 1;
-    return Math.max(retryAfterMinMs, ((this.#queue.size + 1) * this.#serviceTimes.meanMs) / slots);
+  #observation(): ServerObservation {
+    const running = (): number => this.#running;
+    const slots = (): number => this.options.serverTracker.current()?.heartbeat.slots ?? 1;
+    const serviceTimes = (): ServiceTimes => this.#serviceTimes;
+    const recordedAtMs = (): number => this.#serviceTimeRecordedAtMs;
+    return {
+      get runningCalls() {
+        return running();
+      },
+      get slots() {
+        return slots();
+      },
+      get serviceTimes() {
+        return serviceTimes();
+      },
+      get serviceTimeRecordedAtMs() {
+        return recordedAtMs();
+      },
+    };
   }
 
   #permit(open: CallOpen): Permit {
@@ -292,23 +239,16 @@
   #enqueue(open: CallOpen, deadlineAtMs: number, signal: CancelSignal): Promise<AdmissionResult> {
     return new Promise((resolve) => {
       let onAbort = (): void => undefined;
-      const call: QueuedCall = {
-        open,
-        dueAtMs: monotonicNowMs() + this.#latencyTargets.get(open.route).dueInMs,
-        deadlineAtMs,
-        settle: (result) => {
-          signal.removeEventListener('abort', onAbort);
-          resolve(result);
-        },
-      };
+      const call = this.#scheduler.push({ open, deadlineAtMs }, monotonicNowMs(), (result) => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(result);
+      });
       onAbort = () => {
-        this.#queue.remove(call);
-        call.settle(
-          this.#refuse(createRefusal(RefusalReason.Cancelled, 'cancelled while it waited')),
-        );
+        this.#scheduler.remove(call);
+        const detail = 'cancelled while it waited';
+        call.settle(this.#refuse(createRefusal(RefusalReason.Cancelled, detail)));
       };
       signal.addEventListener('abort', onAbort);
-      this.#queue.push(call);
     });
   }
 
@@ -317,11 +257,11 @@
     for (;;) {
       const server = this.options.serverTracker.current();
       if (!server || this.#running >= server.heartbeat.slots) return;
-      const call = this.#queue.shift();
+      const call = this.#scheduler.shift(nowMs);
       if (!call) return;
       const refused =
         this.currentRefusal(call.open.service) ??
-        this.#deadlineRefusal(call.open, call.deadlineAtMs - nowMs, nowMs, this.#queue.size > 0) ??
+        this.#scheduler.checkWaiting(call, nowMs, this.#scheduler.size > 0) ??
         this.#coldLimiter.count(server, nowMs);
       if (refused) call.settle(this.#refuse(refused));
       else call.settle({ kind: 'permit', permit: this.#permit(call.open) });
--- a/packages/orders/src/first-read-schedule.ts
+++ b/packages/orders/src/first-read-schedule.ts
@@ -10,6 +10,12 @@
 const firstReadDelaySpreadMs = 800;
 /** Time after which a node that knows no other node takes itself for the only one. */
 const aloneAfterMs = 3500;
+/**
+ * Time after which a node that knows another one trusts the selection of watchers although new members
+ * still arrive. In a fleet that starts at once they arrive for a second, and nobody is served before the
+ * first read.
+ */
+const membersSettledMaxMs = 250;
 /** Time without a new member after which a node that starts trusts the selection of watchers. */
 const membersSettledMs = 300;
 
@@ -25,6 +31,9 @@
 
   #settledAtMs = 0;
 
+  /** When this node trusts the selection of watchers at the latest; set once it knows another node. */
+  #settledAtMostMs = Number.POSITIVE_INFINITY;
+
   /** When this node reads although it is no watcher; set once it knows another node. */
   #readAtMs: number | undefined;
 
@@ -43,7 +52,11 @@
       this.#settledAtMs = nowMs + membersSettledMs;
     }
     if (fleetSize <= 1) return nowMs >= this.#startedAtMs + aloneAfterMs;
-    this.#readAtMs ??= nowMs + firstReadDelayMinMs + firstReadDelaySpreadMs * this.random.next();
-    return nowMs >= (this.watchers.isSelected() ? this.#settledAtMs : this.#readAtMs);
+    if (this.#readAtMs === undefined) {
+      this.#readAtMs = nowMs + firstReadDelayMinMs + firstReadDelaySpreadMs * this.random.next();
+      this.#settledAtMostMs = nowMs + membersSettledMaxMs;
+    }
+    const settledAtMs = Math.min(this.#settledAtMs, this.#settledAtMostMs);
+    return nowMs >= (this.watchers.isSelected() ? settledAtMs : this.#readAtMs);
   }
 }
--- a/packages/routing/src/mesh/member-load-tracker.ts
+++ b/packages/routing/src/mesh/member-load-tracker.ts
@@ -193,12 +193,13 @@
     return fullRoute !== undefined && monotonicNowMs() < fullRoute.pausedUntilMs;
   }
 
-  /** Whether the member is neither paused nor full for the route. */
-  isAvailable(memberId: string, incarnation: number, route: string): boolean {
+  /** Whether the member is neither paused nor full for the route; without one, whether it is paused. */
+  isAvailable(memberId: string, incarnation: number, route: string | undefined): boolean {
     const row = this.#rowOfIncarnation(memberId, incarnation);
     if (!row) return true;
     const nowMs = monotonicNowMs();
-    const fullUntilMs = row.fullRoutes.get(route)?.pausedUntilMs ?? 0;
+    const fullRoute = route === undefined ? undefined : row.fullRoutes.get(route);
+    const fullUntilMs = fullRoute?.pausedUntilMs ?? 0;
     return nowMs >= row.pausedUntilMs && nowMs >= fullUntilMs;
   }
 
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -1,5 +1,6 @@
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import {
+  CapacityMode,
   MemberState,
   type AttemptReport,
   type HostRoute,
@@ -133,7 +134,12 @@
         attemptsMax: route.attemptsMax,
         targetLatencyMs: route.targetLatencyMs,
       },
-      service: { name: service, priority: route.rank, stableVersion: '' },
+      service: {
+        name: service,
+        priority: route.rank,
+        stableVersion: '',
+        capacityMode: configuration?.services.get(service)?.capacityMode ?? CapacityMode.Declared,
+      },
     };
   }
 
@@ -142,10 +148,12 @@
     backendVersion: string,
     triedIds: ReadonlySet<string>,
     route = '',
+    mayBeLate = false,
   ): MemberRow | undefined {
     const { near, far } = this.#permittedMembers.of(service, backendVersion);
     const isUsable = ({ id, incarnation }: MemberRow): boolean =>
-      !triedIds.has(id) && this.#loadTracker.isAvailable(id, incarnation, route);
+      !triedIds.has(id) &&
+      this.#loadTracker.isAvailable(id, incarnation, mayBeLate ? undefined : route);
     const { random } = this.options;
     const comparedNear = drawMembers(near, comparedNearMax, isUsable, random);
     const compared = [...comparedNear, ...drawMembers(far, comparedFarMax, isUsable, random)];
--- a/packages/transport/src/call-codec.ts
+++ b/packages/transport/src/call-codec.ts
@@ -54,8 +54,8 @@
  * Encodes the head of a call as an array, since field names would make up most of the bytes. `sentAtMs`
  * is the time on the sender's monotonic clock.
  */
-export const encodeOpen = (open: CallOpen, sentAtMs: number): Buffer =>
-  packr.pack([
+export const encodeOpen = (open: CallOpen, sentAtMs: number): Buffer => {
+  const wire = [
     open.requestId,
     open.attempt.senderId,
     open.attempt.senderIncarnation,
@@ -73,7 +73,11 @@
     open.callerService ?? '',
     sentAtMs,
     open.mayWait ?? true,
-  ]);
+  ];
+  // Older builds ignore what follows; it is left out where it would only cost bytes.
+  if (open.answerDueAtMs !== undefined) wire.push(open.answerDueAtMs, open.mayBeLate ?? false);
+  return packr.pack(wire);
+};
 
 /** Head of a call as it arrived, with the time on the sender's clock at which it was written. */
 export interface ReceivedOpen {
@@ -106,6 +110,7 @@
     headers: pairHeaders(wire[13]),
     callerService: wire[14],
     mayWait: wire[16] !== false,
+    ...(typeof wire[17] === 'number' && { answerDueAtMs: wire[17], mayBeLate: wire[18] === true }),
   };
   return { open, sentAtMs: typeof wire[15] === 'number' ? wire[15] : undefined };
 };
--- a/packages/transport/src/inbound-session.ts
+++ b/packages/transport/src/inbound-session.ts
@@ -105,9 +105,8 @@
       );
       return;
     }
-    const deadlineAtMs = this.connection.clock.toLocalMs(receivedOpen.deadlineAtMs) ?? 0;
     const attempt = new InboundAttempt(
-      { ...receivedOpen, deadlineAtMs },
+      this.#toLocalTimes(receivedOpen),
       this.connection,
       this.context.limits,
       this.context.mechanisms.bodyCheck,
@@ -121,6 +120,13 @@
     else start();
   }
 
+  #toLocalTimes(open: CallOpen): CallOpen {
+    const { clock } = this.connection;
+    const deadlineAtMs = clock.toLocalMs(open.deadlineAtMs) ?? 0;
+    if (open.answerDueAtMs === undefined) return { ...open, deadlineAtMs };
+    return { ...open, deadlineAtMs, answerDueAtMs: clock.toLocalMs(open.answerDueAtMs) ?? 0 };
+  }
+
   /**
    * Whether an open frame has waited unread for so long that its caller may have left meanwhile. The
    * cancel then waits behind it, and is read one turn of the event loop later.
--- a/packages/types/src/calls.ts
+++ b/packages/types/src/calls.ts
@@ -31,6 +31,16 @@
   readonly method: string;
   readonly path: string;
   readonly headers: readonly (readonly [string, string])[];
+  /**
+   * Time on the sender's monotonic clock at which the answer is due by the latency target, counted from
+   * the caller's first attempt; left out if the receiver shall count the target from the arrival.
+   */
+  readonly answerDueAtMs?: number;
+  /**
+   * Whether the call may wait although its answer will be late; if not, a node with too long a queue for
+   * `answerDueAtMs` refuses it, so that the sender can try another member.
+   */
+  readonly mayBeLate?: boolean;
   /**
    * Whether the call may wait for a slot; if false, a node without a free slot refuses it at once, so
    * that the sender can try another member. True if left out.
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -2,6 +2,7 @@
 import type { RouteIntent, ServiceIntent, Snapshot } from './configuration.js';
 import type { MoveVerdict, RefusalReason } from './enums.js';
 import type { MemberRow } from './members.js';
+import type { CapacityMode } from './mesh.js';
 
 /** Read access to the active configuration. */
 export interface SnapshotView {
@@ -77,7 +78,10 @@
 };
 
 /** Fields of a service that the call path uses. */
-export type CalledService = Pick<ServiceIntent, 'name' | 'priority' | 'stableVersion'>;
+export type CalledService = Pick<ServiceIntent, 'name' | 'priority' | 'stableVersion'> & {
+  /** How the nodes beside the servers of the service admit calls; `Declared` if left out. */
+  readonly capacityMode?: CapacityMode;
+};
 
 /** Result of matching a call with the active configuration. */
 export interface RouteMatch {
@@ -112,6 +116,8 @@
     backendVersion: string,
     triedIds: ReadonlySet<string>,
     route?: string,
+    /** Whether members that just refused calls of the route for lack of capacity are chosen too. */
+    mayBeLate?: boolean,
   ): MemberRow | undefined;
   /**
    * Returns the time until a member expects capacity for the route, if all known members refused
