Decide about keys of client accounts

Cause: the mesh serves every request, since nothing checks which client account it belongs to. Change: the package accounts has a directory of accounts by the hash of their keys, a check by the configuration in force, and a log of refused requests without keys or accounts; types has the interface of the check. Nothing uses it yet.

--- /dev/null
+++ b/packages/accounts/src/account-check.ts
@@ -0,0 +1,60 @@
+import {
+  KeyVerdict,
+  type ClientAccount,
+  type KeyCheck,
+  type KeyChecker,
+  type KeyedRoute,
+  type MeshConfiguration,
+  type OrdersView,
+} from '@sequoiafield/types';
+import { AccountDirectory } from './account-directory.js';
+
+/** Dependencies of an `AccountCheck`. */
+export interface AccountCheckOptions {
+  readonly orders: OrdersView;
+  /** Whether this node knows that there is a newer configuration than the one in force. */
+  readonly isOutdated: () => boolean;
+  /** Called with each refused request: its route and whether a key was sent. */
+  readonly onRefused?: (route: string, hasKey: boolean) => void;
+}
+
+const accepted: KeyCheck = { verdict: KeyVerdict.Accepted };
+const undecided: KeyCheck = { verdict: KeyVerdict.Undecided };
+
+/**
+ * Checks each request's key against the configuration in force, so that a key that was added or
+ * withdrawn counts from the next request on, also on open connections. A configuration without accounts
+ * needs no keys.
+ *
+ * @example
+ * const check = new AccountCheck({ orders, isOutdated: () => orders.isBehind() });
+ * const { verdict, account } = check.check(key, route);
+ */
+export class AccountCheck implements KeyChecker {
+  #compiledConfiguration: MeshConfiguration | undefined;
+
+  #directory = new AccountDirectory([]);
+
+  constructor(private readonly options: AccountCheckOptions) {}
+
+  check(key: string | undefined, route: KeyedRoute): KeyCheck {
+    const { configuration } = this.options.orders.current();
+    if (!configuration) return undecided;
+    if (!configuration.accounts || configuration.accounts.length === 0) return accepted;
+    const account = key === undefined ? undefined : this.#find(key, configuration);
+    if (account) return { verdict: KeyVerdict.Accepted, account };
+    if (route.isPublic) return accepted;
+    // The newer configuration may hold the key or open the route.
+    if (this.options.isOutdated()) return undecided;
+    this.options.onRefused?.(route.name, key !== undefined);
+    return { verdict: key === undefined ? KeyVerdict.Missing : KeyVerdict.Unknown };
+  }
+
+  #find(key: string, configuration: MeshConfiguration): ClientAccount | undefined {
+    if (configuration !== this.#compiledConfiguration) {
+      this.#compiledConfiguration = configuration;
+      this.#directory = new AccountDirectory(configuration.accounts ?? []);
+    }
+    return this.#directory.find(key);
+  }
+}
--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -238,6 +238,12 @@
     'connectionsWaited',
     'Connections of callers waited to be accepted; the event names the longest possible wait.',
   ),
+  keysRefused: defineEvent(
+    1507,
+    EventLevel.Warn,
+    'keysRefused',
+    'Requests were refused because their key is missing or unknown; counts since the start of the node.',
+  ),
   lateAnswerDropped: defineEvent(
     1500,
     EventLevel.Warn,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,3 +1,4 @@
+export * from './accounts.js';
 export * from './calls.js';
 export * from './configuration.js';
 export * from './constants.js';
--- a/packages/types/src/mesh.ts
+++ b/packages/types/src/mesh.ts
@@ -68,7 +68,7 @@
   readonly routes: readonly HostRoute[];
   readonly services: ReadonlyMap<string, MeshService>;
   readonly limits: ClientLimits;
-  /** Client accounts; undefined if requests need no key. */
+  /** Client accounts; undefined or empty if requests need no key. */
   readonly accounts?: readonly ClientAccount[];
 }
 
