Check keys when requests arrive, and hand the account to servers

Cause: a request with a withdrawn or unknown key, or with none, reached a backend server, the key itself was forwarded to it, and a client could claim any account. Change: the call proxy checks the key against the configuration in force before it reads the body. A missing or unknown key is refused with 401, one that this node cannot know yet with 503 as not run. Neither the key nor an account header of the client is forwarded; the account is a field of the call that links carry, and the node beside the server writes the header. The check of the length of a body follows the check of the key.

--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -1,9 +1,12 @@
 import type { ServerResponse } from 'node:http';
 import { BodyChannel } from '@sequoiafield/transport';
-import type { CallAnswer, CallRefusal } from '@sequoiafield/types';
+import { RefusalReason, type CallAnswer, type CallRefusal } from '@sequoiafield/types';
 import type { CallProtocol } from './call-protocol.js';
 import { bodilessStatuses } from './headers.js';
 
+/** Challenge of an answer with status 401, which must have one (RFC 9110, section 15.5.2). */
+const keyChallenge = 'ApiKey';
+
 /** Writes the result of a call to its caller's connection. */
 export class AnswerWriter {
   constructor(
@@ -58,6 +61,7 @@
     const head = this.protocol.refusalHead(refusal);
     const headers = [this.protocol.requestIdHeader, requestId];
     for (const [name, value] of head.headers) headers.push(name, value);
+    if (reason === RefusalReason.UnknownKey) headers.push('www-authenticate', keyChallenge);
     headers.push('content-type', 'application/json', 'content-length', String(body.byteLength));
     if (isClosing || this.isClosing()) headers.push('connection', 'close');
     response.writeHead(head.status, headers);
--- a/packages/calls/src/arrival-check.ts
+++ b/packages/calls/src/arrival-check.ts
@@ -2,12 +2,15 @@
 import { monotonicNowMs } from '@sequoiafield/tables';
 import {
   bodyMaxBytes,
+  KeyVerdict,
   RefusalReason,
   type CalledRoute,
   type CallRefusal,
-  type RouteMatch,
+  type ClientAccount,
 } from '@sequoiafield/types';
+import type { CallProtocol } from './call-protocol.js';
 import type { CallProxyOptions } from './call-proxy-options.js';
+import { readKey } from './inbound-request.js';
 import { createNotRunRefusal } from './refusals.js';
 
 /** Retry hint of a node that does not serve yet; one that starts gets its configuration in this time. */
@@ -15,30 +18,55 @@
 /** Retry hint of a node that is about to get a newer configuration, which takes one exchange. */
 const outdatedRetryAfterMs = 200;
 
+/** Result of the check of a request's key; a request with a refusal must not run. */
+export interface CheckedKey {
+  readonly refusal?: CallRefusal;
+  readonly account?: ClientAccount;
+}
+
 /** Checks by which a node refuses requests of callers at once, before it tries any member. */
 export class ArrivalCheck {
   /** Time at which this node ends, in ms on the monotonic clock. */
   endsAtMs = Number.POSITIVE_INFINITY;
 
   constructor(
-    private readonly options: Pick<CallProxyOptions, 'snapshots' | 'random' | 'clientLimits'>,
+    private readonly options: Pick<
+      CallProxyOptions,
+      'snapshots' | 'random' | 'clientLimits' | 'keyChecker'
+    >,
+    private readonly protocol: Pick<CallProtocol, 'keyHeader'>,
   ) {}
 
   get bodyMaxBytes(): number {
     return this.options.clientLimits?.()?.bodyMaxBytes ?? bodyMaxBytes;
   }
 
-  /** Refuses a request while this node does not serve, or for the length of its body. */
-  checkRequest(request: IncomingMessage, match: RouteMatch | undefined): CallRefusal | undefined {
-    if (!this.options.snapshots.isServing()) {
-      const detail = 'the node holds no current configuration';
-      return this.#createNotReadyRefusal(detail, notServingRetryAfterMs);
-    }
-    if (match && Number(request.headers['content-length'] ?? 0) > this.bodyMaxBytes) {
-      const detail = `the body exceeds ${this.bodyMaxBytes} bytes`;
-      return createNotRunRefusal(RefusalReason.BodyTooLarge, detail);
+  /** Refuses requests while this node does not serve. */
+  checkServing(): CallRefusal | undefined {
+    if (this.options.snapshots.isServing()) return undefined;
+    const detail = 'the node holds no current configuration';
+    return this.#createNotReadyRefusal(detail, notServingRetryAfterMs);
+  }
+
+  /** Refuses a request for the length of its body. */
+  checkBodyLength(request: IncomingMessage): CallRefusal | undefined {
+    if (Number(request.headers['content-length'] ?? 0) <= this.bodyMaxBytes) return undefined;
+    const detail = `the body exceeds ${this.bodyMaxBytes} bytes`;
+    return createNotRunRefusal(RefusalReason.BodyTooLarge, detail);
+  }
+
+  /** Returns the account of a request, or the refusal of one whose route needs another key. */
+  checkKey(request: IncomingMessage, route: CalledRoute): CheckedKey {
+    const { keyChecker } = this.options;
+    if (!keyChecker) return {};
+    const { verdict, account } = keyChecker.check(readKey(request, this.protocol), route);
+    if (verdict === KeyVerdict.Accepted) return { account };
+    if (verdict === KeyVerdict.Undecided) {
+      const detail = 'the key is not known until the newest configuration is active';
+      return { refusal: this.#createNotReadyRefusal(detail, outdatedRetryAfterMs) };
     }
-    return undefined;
+    const detail = verdict === KeyVerdict.Missing ? 'the key is missing' : 'the key is unknown';
+    return { refusal: createNotRunRefusal(RefusalReason.UnknownKey, detail) };
   }
 
   /**
--- a/packages/calls/src/call-protocol.ts
+++ b/packages/calls/src/call-protocol.ts
@@ -1,4 +1,6 @@
 import {
+  accountHeader,
+  accountKeyHeader,
   deadlineHeader,
   outcomeHeader,
   reasonHeader,
@@ -41,7 +43,12 @@
   readonly requestIdHeader: string;
   /** Header with the time that the caller still waits, in ms. */
   readonly deadlineHeader: string;
-  /** Request headers that only nodes set; a caller's values are dropped. */
+  /**
+   * Header with the key of the caller's account, in lower case; left out if the protocol has no keys. It
+   * is one of `nodeOnlyRequestHeaders`, so that no backend server and no other node gets a key.
+   */
+  readonly keyHeader?: string;
+  /** Request headers that only nodes set or read; a caller's values are dropped. */
   readonly nodeOnlyRequestHeaders: ReadonlySet<string>;
   /** Answer headers that only nodes set; a backend server's values are dropped. */
   readonly nodeOnlyAnswerHeaders: ReadonlySet<string>;
@@ -73,6 +80,16 @@
 export const findHeader = (pairs: readonly HeaderPair[], name: string): string | undefined =>
   pairs.find(([other]) => other === name)?.[1];
 
+/**
+ * Returns a text as the value of a header: its UTF-8 bytes as Latin-1 text, since the HTTP client refuses
+ * requests with other characters.
+ *
+ * @example
+ * encodeHeaderText('caf\u00e9'); // 'caf\u00c3\u00a9'
+ */
+export const encodeHeaderText = (text: string): string =>
+  Buffer.from(text, 'utf8').toString('latin1');
+
 /**
  * Call protocol with the project's own headers.
  *
@@ -85,9 +102,13 @@
 
   readonly deadlineHeader = deadlineHeader;
 
+  readonly keyHeader: string = accountKeyHeader;
+
   readonly acceptsAnswersWithoutLength: boolean = false;
 
   readonly nodeOnlyRequestHeaders: ReadonlySet<string> = new Set([
+    accountKeyHeader,
+    accountHeader,
     deadlineHeader,
     requestIdHeader,
     'host',
@@ -109,6 +130,9 @@
     return [
       [deadlineHeader, String(Math.max(1, Math.floor(remainingMs)))],
       [requestIdHeader, open.requestId],
+      ...(open.account === undefined
+        ? []
+        : [[accountHeader, encodeHeaderText(open.account)] as const]),
     ];
   }
 
--- a/packages/calls/src/call-proxy-options.ts
+++ b/packages/calls/src/call-proxy-options.ts
@@ -5,6 +5,7 @@
   CallSender,
   ClientLimits,
   EvidenceRecorder,
+  KeyChecker,
   MemberAnnouncement,
   RolloutView,
   Router,
@@ -40,6 +41,8 @@
   readonly retryPolicy?: RetryPolicy;
   /** `DefaultCallProtocol` by default. */
   readonly protocol?: CallProtocol;
+  /** Checks the keys of requests; without it, no request needs one. */
+  readonly keyChecker?: KeyChecker;
   /** Limits of callers' connections; built-in defaults apply while it returns undefined. */
   readonly clientLimits?: () => ClientLimits | undefined;
   /** Service of the machine at which calls start; empty if unknown. */
--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -7,7 +7,6 @@
   type CallRefusal,
   type CallResult,
   type ClientLimits,
-  type RouteMatch,
   RefusalOutcome,
 } from '@sequoiafield/types';
 import { fastify, type FastifyInstance } from 'fastify';
@@ -76,7 +75,7 @@
         this.#accept(request.raw, reply.raw);
       },
     });
-    this.#arrivalCheck = new ArrivalCheck(options);
+    this.#arrivalCheck = new ArrivalCheck(options, this.#protocol);
     this.#lateRequestGuard = new LateRequestGuard(this.counters, options.logger);
     this.#lateRequestGuard.watch(this.#server.server);
     this.systems = this.#lateRequestGuard.systems;
@@ -207,9 +206,12 @@
     const path = request.url ?? '/';
     const host = request.headers.host ?? '';
     const match = this.options.router.match(method, pathOf(path), host);
-    const refusal = this.#checkOnArrival(request, requestId, match);
+    const refusal = this.#checkOnArrival(requestId);
     if (refusal) return toRefusalResult(refusal);
     if (!match) return toRefusalResult(this.#arrivalCheck.refuseWithoutRoute(method, path));
+    const { account, refusal: keyRefusal } = this.#arrivalCheck.checkKey(request, match.route);
+    const requestRefusal = keyRefusal ?? this.#arrivalCheck.checkBodyLength(request);
+    if (requestRefusal) return toRefusalResult(requestRefusal);
     const deadlineMs = readDeadlineMs(request, match.route.deadlineMs, this.#protocol);
     const deadlineAtMs = arrivedAtMs + deadlineMs;
     const deadlineRefusal = this.#arrivalCheck.checkDeadline(match.route, deadlineAtMs);
@@ -226,7 +228,9 @@
     }
     const headers = forwardHeaders(request.rawHeaders, this.#protocol.nodeOnlyRequestHeaders);
     const configVersion = this.options.snapshots.current()?.configVersion ?? 0;
-    const call = { requestId, match, method, path, headers, body, configVersion, deadlineAtMs };
+    const call: RoutedRequest = {
+      ...{ requestId, match, account, method, path, headers, body, configVersion, deadlineAtMs },
+    };
     this.counters.callsStarted += 1;
     const retryingCall = new RetryingCall(
       call,
@@ -261,15 +265,11 @@
     });
   }
 
-  #checkOnArrival(
-    request: IncomingMessage,
-    requestId: string,
-    match: RouteMatch | undefined,
-  ): CallRefusal | undefined {
+  #checkOnArrival(requestId: string): CallRefusal | undefined {
     if (this.#isDraining && !this.options.receiver.running.has(requestId)) {
       return createNotRunRefusal(RefusalReason.Draining, 'the node is stopping');
     }
-    return this.#arrivalCheck.checkRequest(request, match);
+    return this.#arrivalCheck.checkServing();
   }
 
   async #writeResult(
--- a/packages/calls/src/inbound-request.ts
+++ b/packages/calls/src/inbound-request.ts
@@ -32,6 +32,19 @@
   return typeof header === 'string' && header !== '' ? header : undefined;
 };
 
+/**
+ * Returns the key that the caller sent, or undefined. Keys may hold any characters; their UTF-8 bytes
+ * arrive as Latin-1 text.
+ */
+export const readKey = (
+  request: IncomingMessage,
+  protocol: Pick<CallProtocol, 'keyHeader'>,
+): string | undefined => {
+  const header = protocol.keyHeader === undefined ? '' : request.headers[protocol.keyHeader];
+  if (typeof header !== 'string' || header === '') return undefined;
+  return Buffer.from(header, 'latin1').toString('utf8');
+};
+
 /**
  * Returns the path of a request target without its query.
  *
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -14,6 +14,7 @@
   AnswerKind,
   backendRefusedHeader,
   backendRefusedNotRun,
+  encodeHeaderText,
   findHeader,
   DefaultCallProtocol,
   type BackendAnswerHead,
--- a/packages/calls/src/refusals.ts
+++ b/packages/calls/src/refusals.ts
@@ -6,6 +6,7 @@
 } from '@sequoiafield/types';
 
 const httpStatus = {
+  unauthorized: 401,
   notFound: 404,
   tooLarge: 413,
   badGateway: 502,
@@ -39,14 +40,15 @@
 export const toRefusalResult = (refusal: CallRefusal): CallResult => ({ kind: 'refusal', refusal });
 
 /**
- * Returns the HTTP status of a refusal: 503 for not run, 502 or 504 for unknown; 404 and 413 for
- * requests that every node would refuse.
+ * Returns the HTTP status of a refusal: 503 for not run, 502 or 504 for unknown; 401, 404 and 413
+ * for requests that every node would refuse.
  *
  * @example
  * httpStatusOf(createNotRunRefusal(RefusalReason.Draining, 'the node is stopping')); // 503
  */
 export const httpStatusOf = (refusal: CallRefusal): number => {
   if (refusal.outcome === RefusalOutcome.NotRun) {
+    if (refusal.reason === RefusalReason.UnknownKey) return httpStatus.unauthorized;
     if (refusal.reason === RefusalReason.NoRoute) return httpStatus.notFound;
     if (refusal.reason === RefusalReason.BodyTooLarge) return httpStatus.tooLarge;
     return httpStatus.unavailable;
--- a/packages/calls/src/retrying-call.ts
+++ b/packages/calls/src/retrying-call.ts
@@ -7,6 +7,7 @@
   type CallRefusal,
   type CallResult,
   type CancelSignal,
+  type ClientAccount,
   type MemberRow,
   type RouteMatch,
 } from '@sequoiafield/types';
@@ -23,6 +24,8 @@
 export interface RoutedRequest {
   readonly requestId: string;
   readonly match: RouteMatch;
+  /** Account whose key the request has. */
+  readonly account?: ClientAccount;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly HeaderPair[];
@@ -248,6 +251,7 @@
       },
       service: service.name,
       callerService: options.callerService?.() ?? '',
+      account: call.account?.name,
       route: route.name,
       backendVersion,
       configVersion: call.configVersion,
--- a/packages/calls/src/test-support/call-node-fixture.ts
+++ b/packages/calls/src/test-support/call-node-fixture.ts
@@ -11,6 +11,7 @@
   type AttemptReport,
   type CallEvidence,
   type CallRefusal,
+  type KeyChecker,
   type MemberRow,
   type RouteIntent,
   type ServiceIntent,
@@ -74,6 +75,7 @@
   readonly backend?: Partial<BackendClientOptions>;
   readonly retryPolicy?: RetryPolicy;
   readonly protocol?: CallProtocol;
+  readonly keyChecker?: KeyChecker;
   /** Returns the refusal of the admission, or undefined to admit the call. */
   readonly admit?: () => CallRefusal | undefined;
   readonly isAllowed?: () => boolean;
@@ -198,6 +200,7 @@
       },
       retryPolicy: options.retryPolicy,
       protocol: options.protocol,
+      keyChecker: options.keyChecker,
     });
     this.#loop = new TickLoop(
       [...this.transport.systems, ...this.calls.systems],
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -24,6 +24,7 @@
   type MemberAnnouncement,
 } from '@sequoiafield/types';
 import { CallLog } from './call-log.js';
+import { createKeyCheck, type NodeKeyCheck } from './create-key-check.js';
 import { SeedRegistrar } from './seed-registrar.js';
 import { HeartbeatMonitor } from './heartbeat-monitor.js';
 import type { MeshNodeSettings } from './settings.js';
@@ -76,6 +77,7 @@
   readonly receiver: BackendCallReceiver;
   readonly calls: CallProxy;
   readonly heartbeatMonitor: HeartbeatMonitor;
+  readonly refusedKeys: NodeKeyCheck['refusedKeys'];
   /** In the order in which the tick loop runs them. */
   readonly systems: readonly System[];
   /** Whether the configuration is known and a peer or the store has answered recently. */
@@ -276,6 +278,7 @@
     random,
   });
   const callLog = new CallLog(logger);
+  const { keyChecker, refusedKeys } = createKeyCheck(orders, logger);
   const limits = (): ClientLimits | undefined => orders.view.current().configuration?.limits;
   const calls = createCallProxy({
     self: { ...self, address: settings.ingress.address },
@@ -294,6 +297,7 @@
     logger,
     retryPolicy: new ReachedServerRetryPolicy(),
     protocol: platform.protocol,
+    keyChecker,
     clientLimits: limits,
     callerService: () => settings.service,
     onEnded: (summary) => callLog.add(summary),
@@ -320,7 +324,7 @@
       heartbeatMonitor,
       ...moves.systems,
     ],
-    ...[router, ...transport.systems, ...calls.systems, callLog],
+    ...[router, ...transport.systems, ...calls.systems, callLog, refusedKeys],
   ];
   return {
     ...{
@@ -334,6 +338,7 @@
       receiver,
       calls,
       heartbeatMonitor,
+      refusedKeys,
       systems,
     },
     ...availability,
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -102,7 +102,8 @@
   }
 
   metricSources(): readonly MetricSource[] {
-    const { calls, gate, membership, orders, moves, store, transport } = this.#components;
+    const { calls, gate, membership, orders, moves, store, transport, refusedKeys } =
+      this.#components;
     const { counters } = calls;
     const source = (name: string, help: string, read: () => number): MetricSource => ({
       name: `sequoiafield_${name}`,
@@ -118,6 +119,16 @@
       ),
       source('calls_not_run_total', 'Calls refused as not run', () => counters.callsNotRun),
       source('calls_unknown_total', 'Calls that may have run', () => counters.callsUnknown),
+      source(
+        'requests_without_key_total',
+        'Requests refused because they have no key of a client account',
+        () => refusedKeys.withoutKey,
+      ),
+      source(
+        'requests_unknown_key_total',
+        'Requests refused because the configuration does not hold their key',
+        () => refusedKeys.withUnknownKey,
+      ),
       source(
         'requests_late_total',
         'Requests that may have waited unread for too long',
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -132,6 +132,7 @@
         retryBudgetPercent: 100 * this.options.retryLimit.ratio,
         attemptsMax: route.attemptsMax,
         targetLatencyMs: route.targetLatencyMs,
+        isPublic: route.isPublic,
       },
       service: { name: service, priority: route.rank, stableVersion: '' },
     };
--- a/packages/transport/src/call-codec.ts
+++ b/packages/transport/src/call-codec.ts
@@ -73,6 +73,7 @@
     open.callerService ?? '',
     sentAtMs,
     open.mayWait ?? true,
+    open.account ?? null,
   ]);
 
 /** Head of a call as it arrived, with the time on the sender's clock at which it was written. */
@@ -106,6 +107,7 @@
     headers: pairHeaders(wire[13]),
     callerService: wire[14],
     mayWait: wire[16] !== false,
+    ...(typeof wire[17] === 'string' && { account: wire[17] }),
   };
   return { open, sentAtMs: typeof wire[15] === 'number' ? wire[15] : undefined };
 };
--- a/packages/types/src/constants.ts
+++ b/packages/types/src/constants.ts
@@ -2,6 +2,10 @@
 export const deadlineHeader = 'x-sequoiafield-deadline-ms';
 /** Header with the id of a request, passed on along a chain of calls. */
 export const requestIdHeader = 'x-sequoiafield-request-id';
+/** Header with the key of the caller's account; only the node that receives the request reads it. */
+export const accountKeyHeader = 'x-sequoiafield-account-key';
+/** Header with the name of the caller's account, for backend servers. */
+export const accountHeader = 'x-sequoiafield-account';
 /** Header of a refusal with its outcome, `not-run` or `unknown`. */
 export const outcomeHeader = 'x-sequoiafield-outcome';
 /** Header of a refusal with its reason. */
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -74,6 +74,8 @@
   readonly attemptsMax?: number;
   /** Time within which most answers of the route are due; its deadline if left out. */
   readonly targetLatencyMs?: number;
+  /** Whether requests need no key of a client account; they need one if left out. */
+  readonly isPublic?: boolean;
 };
 
 /** Fields of a service that the call path uses. */
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -60,6 +60,7 @@
   BackendServerRefused = 'backend-server-refused',
   WrongServer = 'wrong-server',
   ColdServer = 'cold-server',
+  UnknownKey = 'unknown-key',
 }
 
 /** Verdict on a move; `RolledBack` is final and spreads without the store. */
