Order calls by the priority of their account

Cause: the gate took the rank of the route from its configuration, so that the priority of an account had no effect. Change: the priority of a call is the rank of its account if it has one, else that of its route, and the gate's due times follow from that priority and the target of the route. Without accounts the due times are as before, except while a changed rank of a route has not reached both nodes. The gate's tests now state the rank of the route as the priority of the call, as the calling node does; their expectations are unchanged.

--- a/packages/calls/src/account-keys.test.ts
+++ b/packages/calls/src/account-keys.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import type { IncomingHttpHeaders } from 'node:http';
 import { test } from 'node:test';
-import { KeyVerdict, type KeyChecker } from '@sequoiafield/types';
+import { KeyVerdict, Priority, type KeyCheck, type KeyChecker } from '@sequoiafield/types';
 import { listen, CallNodeFixture } from './test-support/call-node-fixture.js';
 
 const keyHeader = 'x-sequoiafield-account-key';
@@ -42,6 +42,30 @@
   );
 });
 
+test('the rank of the account is the priority of its calls; without one, the route decides', async (t) => {
+  // Guards against an account whose calls are queued behind those of less important accounts.
+  let rank: number | undefined = 3;
+  const [, origin] = await listen((_request, response) => response.end());
+  const check = (): KeyCheck => ({
+    verdict: KeyVerdict.Accepted,
+    account: { name: 'shop', keyHashes: [], ...(rank !== undefined && { rank }) },
+  });
+  const node = await new CallNodeFixture('a', { origin, keyChecker: { check } }).start();
+  node.setMembers([node.row]);
+  const receive = t.mock.method(node.receiver, 'receive');
+  await fetch(`${node.url}/tabs`);
+  rank = undefined;
+  await fetch(`${node.url}/tabs`);
+  const opens = receive.mock.calls.map((call) => call.arguments[0]);
+  assert.deepEqual(
+    opens.map(({ account, priority }) => [account, priority]),
+    [
+      ['shop', 3],
+      ['shop', Priority.Critical],
+    ],
+  );
+});
+
 test('a missing or unknown key is refused with 401, an undecided one with 503', async () => {
   // Guards against a request that runs without a valid key, and against 401 for a key that this node
   // cannot know yet.
--- a/packages/calls/src/retrying-call.ts
+++ b/packages/calls/src/retrying-call.ts
@@ -255,7 +255,7 @@
       route: route.name,
       backendVersion,
       configVersion: call.configVersion,
-      priority: service.priority,
+      priority: call.account?.rank ?? service.priority,
       isIdempotent: route.isIdempotent,
       deadlineAtMs: call.deadlineAtMs,
       method: call.method,
--- a/packages/gate/src/server-gate.test.ts
+++ b/packages/gate/src/server-gate.test.ts
@@ -63,7 +63,11 @@
 
   admit(changes: Partial<CallOpen> = {}, remainingMs = 500): Promise<AdmissionResult> {
     const { signal } = new AbortController();
-    return this.gate.admit(sampleOpen(changes), monotonicNowMs() + remainingMs, signal);
+    const routes = this.orders.current().configuration?.routes ?? [];
+    // The calling node states the rank of the route as the priority of the call.
+    const priority = routes.find(({ name }) => name === changes.route)?.rank ?? 2;
+    const open = sampleOpen({ priority, ...changes });
+    return this.gate.admit(open, monotonicNowMs() + remainingMs, signal);
   }
 }
 
@@ -108,17 +112,20 @@
 });
 
 /** Order in which a call of route `usual` and a later one of `urgent` start on a full server. */
-const startOrderOfRoutes = async (laterByMs: number): Promise<string[]> => {
+const startOrderOfRoutes = async (
+  laterByMs: number,
+  usualChanges: Partial<CallOpen> = {},
+): Promise<string[]> => {
   const fixture = new GateFixture();
   fixture.recordHeartbeat();
   const [first] = await Promise.all([fixture.admit(), fixture.admit(), fixture.admit()]);
   const order: string[] = [];
-  const start = async (route: string): Promise<void> => {
-    const result = await fixture.admit({ route });
+  const start = async (route: string, changes: Partial<CallOpen> = {}): Promise<void> => {
+    const result = await fixture.admit({ route, ...changes });
     order.push(route);
     permitOf(result).release({ hasFailed: false, latencyMs: 10 });
   };
-  const usual = start('usual');
+  const usual = start('usual', usualChanges);
   await clock.advance(laterByMs);
   const urgent = start('urgent');
   permitOf(first).release({ hasFailed: false, latencyMs: 10 });
@@ -131,6 +138,11 @@
   assert.deepEqual(await startOrderOfRoutes(0), ['urgent', 'usual']);
 });
 
+test('the priority of an account takes precedence over that of the route', async () => {
+  // Guards against a gate that orders the calls of an important account by their routes.
+  assert.deepEqual(await startOrderOfRoutes(0, { priority: 0 }), ['usual', 'urgent']);
+});
+
 test('a less important call that waited long enough starts before important ones', async () => {
   // Guards against a route whose calls starve behind those of a more important one.
   assert.deepEqual(await startOrderOfRoutes(100), ['usual', 'urgent']);
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -206,7 +206,7 @@
   /** Refuses a call for its remaining time or for the calls queued ahead of it. */
   #callRefusal(open: CallOpen, deadlineAtMs: number, nowMs: number): CallRefusal | undefined {
     const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 1;
-    const { targetMs, dueInMs } = this.#latencyTargets.get(open.route);
+    const { targetMs, dueInMs } = this.#latencyTargets.get(open.route, open.priority);
     const waitMs = this.#running < slots ? 0 : this.#expectedWaitMs(nowMs + dueInMs, slots);
     // Under overload a longer wait serves no more calls, but makes every answer late.
     const waitMaxMs = Math.max(
@@ -294,7 +294,7 @@
       let onAbort = (): void => undefined;
       const call: QueuedCall = {
         open,
-        dueAtMs: monotonicNowMs() + this.#latencyTargets.get(open.route).dueInMs,
+        dueAtMs: monotonicNowMs() + this.#latencyTargets.get(open.route, open.priority).dueInMs,
         deadlineAtMs,
         settle: (result) => {
           signal.removeEventListener('abort', onAbort);
