Merge client accounts

Cause: clients of a deployment with accounts send keys, which were passed on to servers; no account was named, and unknown keys ran.

--- a/packages/calls/src/create-open.ts
+++ b/packages/calls/src/create-open.ts
@@ -1,4 +1,4 @@
-import type { CallOpen, MemberRow, RouteMatch } from '@sequoiafield/types';
+import type { CallOpen, ClientAccount, MemberRow, RouteMatch } from '@sequoiafield/types';
 import type { CallProxyOptions } from './call-proxy-options.js';
 import type { HeaderPair } from './call-protocol.js';
 import type { RequestBody } from './request-body.js';
@@ -7,6 +7,8 @@
 export interface RoutedRequest {
   readonly requestId: string;
   readonly match: RouteMatch;
+  /** Account whose key the request has. */
+  readonly account?: ClientAccount | undefined;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly HeaderPair[];
@@ -43,10 +45,11 @@
     },
     service: service.name,
     callerService: options.callerService?.() ?? '',
+    account: call.account?.name,
     route: route.name,
     backendVersion,
     configVersion: call.configVersion,
-    priority: service.priority,
+    priority: call.account?.rank ?? service.priority,
     isIdempotent: route.isIdempotent,
     deadlineAtMs: call.deadlineAtMs,
     method: call.method,
--- a/packages/gate/src/scheduling/due-time-scheduler.ts
+++ b/packages/gate/src/scheduling/due-time-scheduler.ts
@@ -93,7 +93,7 @@
    * counts as long as its answer can still be in time; it then goes before new calls of its route.
    */
   #dueTimes(open: CallOpen, nowMs: number): DueTimes {
-    const { targetMs, dueInMs } = this.targets.get(open.route);
+    const { targetMs, dueInMs } = this.targets.get(open.route, open.priority);
     const statedMs = open.mayBeLate === true ? undefined : open.answerDueAtMs;
     const neededMs = this.server.serviceTimes.routeP90Ms(open.route);
     const isInTime = statedMs !== undefined && statedMs - nowMs > neededMs;
--- a/packages/transport/src/call-codec.ts
+++ b/packages/transport/src/call-codec.ts
@@ -73,6 +73,7 @@
     open.callerService ?? '',
     sentAtMs,
     open.mayWait ?? true,
+    open.account ?? null,
   ];
   // Older builds ignore what follows; it is left out where it would only cost bytes.
   if (open.answerDueAtMs !== undefined) wire.push(open.answerDueAtMs, open.mayBeLate ?? false);
@@ -110,7 +111,8 @@
     headers: pairHeaders(wire[13]),
     callerService: wire[14],
     mayWait: wire[16] !== false,
-    ...(typeof wire[17] === 'number' && { answerDueAtMs: wire[17], mayBeLate: wire[18] === true }),
+    ...(typeof wire[17] === 'string' && { account: wire[17] }),
+    ...(typeof wire[18] === 'number' && { answerDueAtMs: wire[18], mayBeLate: wire[19] === true }),
   };
   return { open, sentAtMs: typeof wire[15] === 'number' ? wire[15] : undefined };
 };
