Read client accounts from the folder of INI files

Cause: the product's own configuration could not name accounts, so that its nodes check no keys. Change: sections [account NAME] with keys and priority, and public of a route. Section mesh of the stored configuration holds hashes of the keys; without accounts it is byte for byte as before. validate names file and line of a key that two accounts hold, diff and messages show no key, and nodes of this configuration run the same check as those of the mesh.

--- a/packages/accounts/src/account-check.ts
+++ b/packages/accounts/src/account-check.ts
@@ -4,14 +4,18 @@
   type KeyCheck,
   type KeyChecker,
   type KeyedRoute,
-  type MeshConfiguration,
-  type OrdersView,
 } from '@sequoiafield/types';
 import { AccountDirectory } from './account-directory.js';
 
+/** Part of a configuration that names the accounts. */
+export interface AccountsConfiguration {
+  readonly accounts?: readonly ClientAccount[];
+}
+
 /** Dependencies of an `AccountCheck`. */
 export interface AccountCheckOptions {
-  readonly orders: OrdersView;
+  /** Returns the configuration in force, or undefined before the first. */
+  readonly configuration: () => AccountsConfiguration | undefined;
   /** Whether this node knows that there is a newer configuration than the one in force. */
   readonly isOutdated: () => boolean;
   /** Called with each refused request: its route and whether a key was sent. */
@@ -27,21 +31,23 @@
  * needs no keys.
  *
  * @example
- * const check = new AccountCheck({ orders, isOutdated: () => orders.isBehind() });
+ * const configuration = () => orders.view.current().configuration;
+ * const check = new AccountCheck({ configuration, isOutdated: () => orders.isBehind() });
  * const { verdict, account } = check.check(key, route);
  */
 export class AccountCheck implements KeyChecker {
-  #compiledConfiguration: MeshConfiguration | undefined;
+  #compiledAccounts: readonly ClientAccount[] = [];
 
   #directory = new AccountDirectory([]);
 
   constructor(private readonly options: AccountCheckOptions) {}
 
   check(key: string | undefined, route: KeyedRoute): KeyCheck {
-    const { configuration } = this.options.orders.current();
+    const configuration = this.options.configuration();
     if (!configuration) return undecided;
-    if (!configuration.accounts || configuration.accounts.length === 0) return accepted;
-    const account = key === undefined ? undefined : this.#find(key, configuration);
+    const { accounts = [] } = configuration;
+    if (accounts.length === 0) return accepted;
+    const account = key === undefined ? undefined : this.#find(key, accounts);
     if (account) return { verdict: KeyVerdict.Accepted, account };
     if (route.isPublic) return accepted;
     // The newer configuration may hold the key or open the route.
@@ -50,10 +56,10 @@
     return { verdict: key === undefined ? KeyVerdict.Missing : KeyVerdict.Unknown };
   }
 
-  #find(key: string, configuration: MeshConfiguration): ClientAccount | undefined {
-    if (configuration !== this.#compiledConfiguration) {
-      this.#compiledConfiguration = configuration;
-      this.#directory = new AccountDirectory(configuration.accounts ?? []);
+  #find(key: string, accounts: readonly ClientAccount[]): ClientAccount | undefined {
+    if (accounts !== this.#compiledAccounts) {
+      this.#compiledAccounts = accounts;
+      this.#directory = new AccountDirectory(accounts);
     }
     return this.#directory.find(key);
   }
--- a/packages/accounts/src/accounts.test.ts
+++ b/packages/accounts/src/accounts.test.ts
@@ -19,7 +19,7 @@
   isOutdated = false;
 
   readonly #check = new AccountCheck({
-    orders: this.orders,
+    configuration: () => this.orders.current().configuration,
     isOutdated: () => this.isOutdated,
     onRefused: (route, hasKey) => this.log.count(route, hasKey),
   });
--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -1,3 +1,7 @@
-export { AccountCheck, type AccountCheckOptions } from './account-check.js';
+export {
+  AccountCheck,
+  type AccountCheckOptions,
+  type AccountsConfiguration,
+} from './account-check.js';
 export { AccountDirectory, hashKey } from './account-directory.js';
 export { RefusedKeyLog } from './refused-key-log.js';
--- a/packages/cli/src/commands/validate.ts
+++ b/packages/cli/src/commands/validate.ts
@@ -17,6 +17,7 @@
       services: services.size,
       routes: mesh.routeIndex.length,
       dataCentres: mesh.dataCentres.length,
+      accounts: mesh.accounts?.length ?? 0,
       moves: moveCount,
     };
     const counts = [
@@ -24,6 +25,7 @@
       `services ${data.services}`,
       `routes ${data.routes}`,
       `data centres ${data.dataCentres}`,
+      ...(data.accounts > 0 ? [`accounts ${data.accounts}`] : []),
       `moves ${data.moves}`,
     ];
     return {
--- a/packages/config/src/body-schemas.ts
+++ b/packages/config/src/body-schemas.ts
@@ -36,6 +36,13 @@
   isIdempotent: z.boolean(),
   deadlineMs: count,
   retryBudgetPercent: percent,
+  isPublic: z.boolean().optional(),
+});
+
+const account = z.strictObject({
+  name,
+  keyHashes: z.array(digest),
+  rank: z.int().nonnegative().optional(),
 });
 
 const move = z
@@ -62,7 +69,10 @@
 });
 
 /** Schema of the body of section `mesh`. */
-export const meshSchema = z.strictObject({ dataCentres: z.array(dataCentre) });
+export const meshSchema = z.strictObject({
+  dataCentres: z.array(dataCentre),
+  accounts: z.array(account).optional(),
+});
 
 /** Schema of the body of a section of the route index. */
 export const routesSchema = z.strictObject({ routeIndex: z.array(indexEntry) });
--- a/packages/config/src/build-configuration.ts
+++ b/packages/config/src/build-configuration.ts
@@ -1,4 +1,6 @@
+import { hashKey } from '@sequoiafield/accounts';
 import type {
+  ClientAccount,
   Configuration,
   DataCentreIntent,
   MoveIntent,
@@ -28,6 +30,13 @@
   isIdempotent: values.idempotent,
   deadlineMs: values.deadline_ms,
   retryBudgetPercent: values.retry_budget_percent,
+  ...(values.public && { isPublic: true }),
+});
+
+const toAccount = ({ name, values }: TypedSection<'account'>): ClientAccount => ({
+  name,
+  keyHashes: values.keys.map(hashKey),
+  ...(values.priority !== undefined && { rank: values.priority }),
 });
 
 const toDataCentre = ({ name, values }: TypedSection<'data-centre'>): DataCentreIntent => ({
@@ -63,8 +72,8 @@
 });
 
 /**
- * Builds the configuration from checked sections; data centres, routes and services are sorted by
- * name, moves by start time.
+ * Builds the configuration from checked sections; data centres, accounts, routes and services are
+ * sorted by name, moves by start time.
  *
  * @example
  * const configuration = buildConfiguration(typedSections);
@@ -85,9 +94,11 @@
       ...(objective && { objective }),
     });
   });
+  const accounts = sections.account.map(toAccount);
   return {
     mesh: {
       dataCentres: sections['data-centre'].map(toDataCentre),
+      ...(accounts.length > 0 && { accounts }),
       routeIndex: routes.map(toIndexEntry),
     },
     services,
--- a/packages/config/src/check-across-sections.ts
+++ b/packages/config/src/check-across-sections.ts
@@ -1,3 +1,4 @@
+import { checkAccountKeys } from './check-account-keys.js';
 import type { SectionKind } from './folder-schema.js';
 import { compareOrigins, formatOrigin, type ConfigProblem } from './problems.js';
 import { originOf, type MergedSection } from './folder-merger.js';
@@ -148,7 +149,7 @@
 };
 
 /**
- * Checks across sections: references, repeated routes and objectives, and moves.
+ * Checks across sections: references, repeated routes and objectives, moves, and keys of accounts.
  *
  * @example
  * const problems = checkAcrossSections(typedSections, mergedSections.values());
@@ -165,4 +166,5 @@
     ({ values }) => `the objective of service "${values.service}"`,
   ),
   ...checkMoves(sections),
+  ...checkAccountKeys(sections.account),
 ];
--- a/packages/config/src/folder-schema.ts
+++ b/packages/config/src/folder-schema.ts
@@ -3,6 +3,7 @@
 import {
   iniValue,
   isRoutePath,
+  keyList,
   nameValue,
   oneOf,
   percentage,
@@ -45,6 +46,7 @@
       isRoutePath(text) ? text : undefined,
     ),
     idempotent: oneOf({ yes: true, no: false }),
+    public: oneOf({ yes: true, no: false }).optional(),
     deadline_ms: wholeNumber('ms', 1, 600_000),
     retry_budget_percent: percentageFromZero(),
   }),
@@ -62,6 +64,10 @@
     finish_by: utcTime(),
     unproven_cap_percent: percentage(0),
   }),
+  account: z.strictObject({
+    keys: keyList(),
+    priority: oneOf(prioritiesByName).optional(),
+  }),
   objective: z.strictObject({
     service: nameValue(),
     target_percent: iniValue('a percentage above 0 and below 100, without a unit', (text) => {
--- a/packages/config/src/ini-values.ts
+++ b/packages/config/src/ini-values.ts
@@ -5,6 +5,8 @@
 const namePattern = /^[a-z0-9][a-z0-9._-]*$/;
 const versionPattern = /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
 const utcPattern = /^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}:\d{2}(?:\.\d{3})?Z$/;
+/** Printable ASCII without spaces, as a header can carry it. */
+const keyPattern = /^[!-~]+$/;
 const pathPattern = /^\/[^\s?#*]*\*?$/;
 
 /** Description of a valid name, for messages. */
@@ -127,6 +129,19 @@
 export const nameValue = () =>
   iniValue(nameExpectation, (text) => (isName(text) ? text : undefined));
 
+/**
+ * Schema of the keys of a client account, separated by commas; may be empty, which locks out the account.
+ *
+ * @example
+ * keyList().parse('2f9c61d0e8, 77b0a3c4d5'); // ['2f9c61d0e8', '77b0a3c4d5']
+ */
+export const keyList = () =>
+  iniValue('a list of keys of letters, digits and punctuation, separated by commas', (text) => {
+    const keys = text.split(',').map((key) => key.trim());
+    if (keys.length === 1 && keys[0] === '') return [];
+    return keys.every((key) => keyPattern.test(key)) ? keys : undefined;
+  });
+
 /**
  * Schema of a backend version's name.
  *
--- a/packages/config/src/load-folder.ts
+++ b/packages/config/src/load-folder.ts
@@ -32,6 +32,7 @@
     route: validator.validateKind('route', sections.values()),
     'data-centre': validator.validateKind('data-centre', sections.values()),
     move: validator.validateKind('move', sections.values()),
+    account: validator.validateKind('account', sections.values()),
     objective: validator.validateKind('objective', sections.values()),
   };
   problems.push(...validator.problems);
--- a/packages/config/src/render-configuration.ts
+++ b/packages/config/src/render-configuration.ts
@@ -1,9 +1,16 @@
-import { Priority, type Configuration, type ServiceSection } from '@sequoiafield/types';
+import {
+  Priority,
+  type ClientAccount,
+  type Configuration,
+  type ServiceSection,
+} from '@sequoiafield/types';
 import { prioritiesByName } from './folder-schema.js';
 
 /** Keys and values of each section as INI text, by title such as `service settlement`. */
 export type RenderedConfiguration = ReadonlyMap<string, ReadonlyMap<string, string>>;
 
+const shownHashDigits = 12;
+
 type KeyValues = Readonly<Record<string, string | number>>;
 
 const formatPriority = (priority: Priority): string =>
@@ -34,6 +41,7 @@
         method: route.method,
         path: route.path,
         idempotent: route.isIdempotent ? 'yes' : 'no',
+        ...(route.isPublic && { public: 'yes' }),
         deadline_ms: route.deadlineMs,
         retry_budget_percent: route.retryBudgetPercent,
       },
@@ -66,6 +74,15 @@
   return rendered;
 };
 
+/** Renders an account with the first digits of its keys' hashes, which tell keys apart but not what they are. */
+const renderAccount = ({ name, keyHashes, rank }: ClientAccount): [string, KeyValues] => [
+  `account ${name}`,
+  {
+    keys: keyHashes.map((hash) => `sha256:${hash.slice(0, shownHashDigits)}`).join(', '),
+    ...(rank !== undefined && { priority: formatPriority(rank) }),
+  },
+];
+
 /**
  * Renders a configuration as the keys and values of its INI sections. `changed_at` is left out,
  * since it is set when a configuration is accepted. An objective has its service's name in the
@@ -79,7 +96,8 @@
     `data-centre ${dataCentre.name}`,
     { region: dataCentre.region, state: dataCentre.state, ramp_s: dataCentre.rampS },
   ]);
-  const sections = [...[...services.values()].flatMap(renderService), ...dataCentres];
+  const accounts = (mesh.accounts ?? []).map(renderAccount);
+  const sections = [...[...services.values()].flatMap(renderService), ...dataCentres, ...accounts];
   return new Map(
     sections.map(([title, fields]) => [
       title,
--- a/packages/config/src/section-validator.ts
+++ b/packages/config/src/section-validator.ts
@@ -13,6 +13,8 @@
 /** All typed sections of a folder by kind, sorted by name. */
 export type TypedSections = { readonly [K in SectionKind]: readonly TypedSection<K>[] };
 
+/** Keys of sections whose values are not printed. */
+const secretKeys: ReadonlySet<string> = new Set(['keys']);
 const unitPattern = /_(ms|s|m|h|d|percent|bytes)$/;
 
 /**
@@ -49,9 +51,11 @@
   const key = String(issue.path[0]);
   const { file, line } = originOf(section, key);
   const value = section.keys.get(key)?.value;
-  const found =
-    value === undefined ? `${title} is missing key ${key}` : `${key} of ${title} is "${value}"`;
-  return [{ file, line, found, expected: issue.message }];
+  const found = secretKeys.has(key)
+    ? `${key} of ${title} has a value that cannot be used`
+    : `${key} of ${title} is "${value}"`;
+  const missing = `${title} is missing key ${key}`;
+  return [{ file, line, found: value === undefined ? missing : found, expected: issue.message }];
 };
 
 /** Checks every merged section against the schema of its kind. */
--- a/packages/config/src/sections.ts
+++ b/packages/config/src/sections.ts
@@ -68,10 +68,10 @@
  * const mesh = joinMesh(meshSection, routesSections);
  */
 export const joinMesh = (
-  { dataCentres }: MeshSection,
+  meshSection: MeshSection,
   routesSections: readonly RoutesSection[],
 ): MeshTopology => ({
-  dataCentres,
+  ...meshSection,
   routeIndex: routesSections
     .flatMap(({ routeIndex }) => routeIndex)
     .sort((left, right) => (left.name < right.name ? -1 : 1)),
@@ -85,7 +85,10 @@
  * const bodies = toSections(configuration);
  */
 export const toSections = ({ mesh, services }: Configuration): readonly SectionBody[] => [
-  serializeSection(meshSectionName, { dataCentres: mesh.dataCentres }),
+  serializeSection(meshSectionName, {
+    dataCentres: mesh.dataCentres,
+    ...(mesh.accounts && { accounts: mesh.accounts }),
+  }),
   ...toRoutesSections(mesh.routeIndex),
   ...[...services]
     .sort(([left], [right]) => (left < right ? -1 : 1))
--- a/packages/distribution/src/distribution.ts
+++ b/packages/distribution/src/distribution.ts
@@ -64,6 +64,8 @@
   /** Minimum version that this node may serve; undefined while it is unknown. */
   minimumVersion(): number | undefined;
   isStale(): boolean;
+  /** Whether this node knows of a newer version than the active one. */
+  isOutdated(): boolean;
   /** Number of head reads so far. */
   headReads(): number;
 }
@@ -153,6 +155,7 @@
     configVersion: () => holder.version,
     minimumVersion: () => minimumVersionResolver.value,
     isStale: () => freshness.isStale(),
+    isOutdated: () => (headFollower.head?.configVersion ?? 0) > holder.version,
     headReads: () => poller.reads,
   };
 };
--- a/packages/mesh-node/src/create-key-check.ts
+++ b/packages/mesh-node/src/create-key-check.ts
@@ -21,7 +21,7 @@
 ): NodeKeyCheck => {
   const refusedKeys = new RefusedKeyLog(logger);
   const keyChecker = new AccountCheck({
-    orders: orders.view,
+    configuration: () => orders.view.current().configuration,
     isOutdated: () => orders.isBehind(),
     onRefused: (route, hasKey) => refusedKeys.count(route, hasKey),
   });
--- a/packages/node/src/node-components.ts
+++ b/packages/node/src/node-components.ts
@@ -1,3 +1,4 @@
+import { AccountCheck, RefusedKeyLog } from '@sequoiafield/accounts';
 import { createAdmission, type AdmissionComponents } from '@sequoiafield/admission';
 import { createBurnTracker, mergeBurnAnswers, type BurnTracker } from '@sequoiafield/burn';
 import {
@@ -64,6 +65,7 @@
   readonly refusals: AdmissionComponents['refusals'];
   readonly calls: CallProxy;
   readonly receiver: BackendCallReceiver;
+  readonly refusedKeys: RefusedKeyLog;
   readonly repository: ConfigRepository;
   readonly backendServerMonitor: BackendServerMonitor;
   /** In the order in which the tick loop runs them. */
@@ -284,8 +286,14 @@
   const receiver = createNodeReceiver(options, rollout, admission, evidence);
   late.receiver = receiver;
   late.onPeerDraining = (memberId) => reportDraining(membership, routing.router, memberId);
+  const refusedKeys = new RefusedKeyLog(logger);
   const calls = createCallProxy({
     ...{ self, random, logger, evidence, receiver },
+    keyChecker: new AccountCheck({
+      configuration: () => distribution.view.current()?.mesh,
+      isOutdated: () => distribution.isOutdated(),
+      onRefused: (route, hasKey) => refusedKeys.count(route, hasKey),
+    }),
     snapshots: distribution.view,
     router: routing.router,
     rollout: rollout.view,
@@ -304,6 +312,7 @@
     refusals: admission.refusals,
     calls,
     receiver,
-    systems: [backendServerMonitor, ...systems],
+    refusedKeys,
+    systems: [backendServerMonitor, ...systems, refusedKeys],
   };
 };
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -70,6 +70,16 @@
     help: 'Slots that admission gives out, fewer while the own backend server is cold',
     read: () => components.admission.load().slotsNow,
   },
+  {
+    name: `${metricPrefix}requests_without_key_total`,
+    help: 'Requests refused because they have no key of a client account',
+    read: () => components.refusedKeys.withoutKey,
+  },
+  {
+    name: `${metricPrefix}requests_unknown_key_total`,
+    help: 'Requests refused because the configuration does not hold their key',
+    read: () => components.refusedKeys.withUnknownKey,
+  },
   ...createCounterSources('calls', components.calls.counters),
   ...createCounterSources('transport', components.transport.counters),
   ...createCounterSources('membership', components.membership.counters),
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -1,4 +1,5 @@
 import type { DataCentreState, Priority } from './enums.js';
+import type { ClientAccount } from './mesh.js';
 
 /** Settings of one service, as the operators want them. */
 export interface ServiceIntent {
@@ -23,6 +24,8 @@
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
   readonly retryBudgetPercent: number;
+  /** Whether requests need no key of a client account; they need one if left out. */
+  readonly isPublic?: boolean;
 }
 
 /** State and ramp of one data centre, as the operators want them. */
@@ -63,9 +66,11 @@
   readonly path: string;
 }
 
-/** Section `mesh`: the data centres. */
+/** Section `mesh`: the data centres and the client accounts. */
 export interface MeshSection {
   readonly dataCentres: readonly DataCentreIntent[];
+  /** Client accounts; left out if there are none, so that requests need no key. */
+  readonly accounts?: readonly ClientAccount[];
 }
 
 /** One section of the route index: the routes of the services whose names hash to it. */
@@ -74,8 +79,8 @@
 }
 
 /**
- * Part of the configuration that every node holds completely: the data centres and the route index,
- * sorted by route name.
+ * Part of the configuration that every node holds completely: the data centres, the client accounts and
+ * the route index, sorted by route name.
  */
 export interface MeshTopology extends MeshSection, RoutesSection {}
 
