--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -50,3 +50,4 @@
   StoreTransaction,
   TransactionResult,
 } from './lease-store.js';
+export { eraOf, isWrittenLater, rawRevisionOf, revisionInEra } from './store-era.js';
