--- a/packages/store/src/range-store.ts
+++ b/packages/store/src/range-store.ts
@@ -63,9 +63,15 @@
 export interface RangeStore {
   /** Reads a range; each page is linearizable unless `mayBeStale` is set. */
   readRange(prefix: string, options?: ReadOptions): Promise<StoreRange>;
-  /** Waits up to `waitMs` for changes after a revision; resolves without changes after that. */
+  /**
+   * Waits up to `waitMs` for changes after a revision; resolves without changes after that. Rejects with
+   * `HistoryCompactedError` if the store no longer has the changes or was restored from a copy since.
+   */
   watchRange(prefix: string, afterRevision: number, waitMs: number): Promise<StoreChanges>;
-  /** Writes all values if every condition holds, otherwise none. */
+  /**
+   * Writes all values if every condition holds, otherwise none. A condition with a revision of a former
+   * era of the store is a conflict, which then has no items.
+   */
   writeIf(
     conditions: readonly WriteCondition[],
     writes: readonly StoreWrite[],
