Keep what nodes hold when the store is restored from an older copy

Cause: after a restore a node took the copy for the newest state: it dropped entries that the copy lacks, and took over entries that had been removed or replaced since.

Three log events name the era, kept and ignored entries.

--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -64,6 +64,12 @@
     'The store does not answer; the active configuration and orders stay active.',
   ),
   storeAvailable: defineEvent(1101, EventLevel.Info, 'storeAvailable', 'The store answers again.'),
+  storeEraChanged: defineEvent(
+    1102,
+    EventLevel.Warn,
+    'storeEraChanged',
+    'The store was restored from an older copy; what this node holds stays active.',
+  ),
   seedsUnavailable: defineEvent(
     1202,
     EventLevel.Warn,
@@ -142,6 +148,18 @@
     'ordersInForce',
     'Orders of a newer revision of the store are active on this node.',
   ),
+  orderKept: defineEvent(
+    1307,
+    EventLevel.Warn,
+    'orderKept',
+    'An entry stays active although the copy of the store lacks it or has an older one; it has to be written again.',
+  ),
+  orderIgnored: defineEvent(
+    1308,
+    EventLevel.Warn,
+    'orderIgnored',
+    'An entry of the restored store is ignored, since this node has seen a newer one or its removal.',
+  ),
   watchTakenOver: defineEvent(
     1305,
     EventLevel.Info,
--- a/packages/orders/src/create-orders.ts
+++ b/packages/orders/src/create-orders.ts
@@ -39,6 +39,10 @@
   lastStoreAnswerAtMs(): number;
   /** Whether a peer announced a newer revision than the one that this node holds. */
   isBehind(): boolean;
+  /** Era of the store that this node has seen; 0 if the store names none. */
+  storeEra(): number;
+  /** Entries that stay active although the store has not shown them in its current era. */
+  unconfirmedEntries(): number;
   stop(): void;
 }
 
@@ -60,6 +64,8 @@
     systems: [follower],
     lastStoreAnswerAtMs: () => follower.lastStoreAnswerAtMs,
     isBehind: () => follower.isBehind,
+    storeEra: () => table.era.era,
+    unconfirmedEntries: () => table.unconfirmedCount,
     stop: () => follower.stop(),
   };
 };
--- a/packages/orders/src/orders-exchange.ts
+++ b/packages/orders/src/orders-exchange.ts
@@ -1,7 +1,9 @@
 import { DistributionError } from '@sequoiafield/errors';
 import { LinkRequestKind, type LinkRequester, type MemberRow } from '@sequoiafield/types';
+import { readDeltaEra, readRemovals, type DeltaEra } from './delta-era.js';
 import { EntryCodec, type WireEntry } from './entry-codec.js';
 import type { OrdersDelta, OrdersTable } from './orders-table.js';
+import type { Removal } from './removed-entries.js';
 
 /** Time for a peer to answer, after which another peer is asked or the store is read. */
 const requestTimeoutMs = 400;
@@ -16,6 +18,8 @@
    * understand whole values only.
    */
   readonly held?: readonly (readonly [key: string, revision: number])[];
+  /** Revision up to which the sender knows the former eras of the store; left out if it knows none. */
+  readonly formerRevision?: number;
 }
 
 /** Entries on the wire. */
@@ -23,14 +27,22 @@
   readonly storeRevision: number;
   readonly keys: readonly string[];
   readonly items: readonly WireEntry[];
+  readonly removals?: readonly Removal[];
+  readonly era?: DeltaEra | undefined;
 }
 
 const readRequest = (body: unknown): OrdersRequest => {
-  const { sinceRevision, wantedRevision, held } = (body ?? {}) as Partial<OrdersRequest>;
+  const request = (body ?? {}) as Partial<OrdersRequest>;
+  const { sinceRevision, wantedRevision, held, formerRevision } = request;
   if (typeof sinceRevision !== 'number' || typeof wantedRevision !== 'number') {
     throw new DistributionError('Orders request lacks a numeric sinceRevision or wantedRevision');
   }
-  return { sinceRevision, wantedRevision, ...(Array.isArray(held) && { held }) };
+  return {
+    sinceRevision,
+    wantedRevision,
+    ...(Array.isArray(held) && { held }),
+    ...(typeof formerRevision === 'number' && { formerRevision }),
+  };
 };
 
 const readDelta = (body: unknown, peerId: string): WireDelta => {
@@ -43,7 +55,9 @@
     throw new DistributionError(
       `Orders delta of peer ${peerId} lacks storeRevision, keys or items`,
     );
-  return delta as WireDelta;
+  const { storeRevision, keys, items } = delta as WireDelta;
+  const removals = readRemovals(delta.removals);
+  return { storeRevision, keys, items, removals, era: readDeltaEra(delta.era, storeRevision) };
 };
 
 /** Requests changed entries from peers and answers their requests. */
@@ -64,12 +78,15 @@
    * `wantedRevision`. Rejects if the peer does not answer in time.
    */
   async fetchFrom(peer: MemberRow, wantedRevision: number): Promise<boolean> {
-    const sinceRevision = this.table.storeRevision;
+    const { era, storeRevision } = this.table;
+    const sinceRevision = era.isUninformed ? 0 : storeRevision;
     const held = this.table.largeEntries();
-    const body: OrdersRequest = { sinceRevision, wantedRevision, held };
+    const former = era.formerRevision > 0 && { formerRevision: era.formerRevision };
+    const body: OrdersRequest = { sinceRevision, wantedRevision, held, ...former };
     const answer = await this.links.request(peer, LinkRequestKind.Orders, body, requestTimeoutMs);
     const delta = this.#decode(readDelta(answer, peer.id));
     if (this.table.isCompleteAfter(delta)) this.table.applyDelta(delta);
+    if (sinceRevision === 0) this.table.notePeerAnswer();
     return this.table.storeRevision >= wantedRevision;
   }
 
@@ -81,22 +98,25 @@
     ready.forEach(({ answer }) => answer());
   }
 
-  async #answer({ sinceRevision, wantedRevision, held }: OrdersRequest): Promise<WireDelta> {
+  async #answer(request: OrdersRequest): Promise<WireDelta> {
+    const { sinceRevision, wantedRevision, held, formerRevision } = request;
     if (this.table.storeRevision < wantedRevision) await this.#waitForRevision(wantedRevision);
-    const delta = this.table.deltaSince(sinceRevision);
+    const delta = this.table.deltaSince(sinceRevision, formerRevision);
     if (held === undefined) return delta;
     const heldRevisions = new Map(held);
-    const items = delta.items.map((item) =>
+    const lacked = delta.items.filter(({ key, revision }) => heldRevisions.get(key) !== revision);
+    const items = lacked.map((item) =>
       this.#codec.encode(item, heldRevisions.get(item.key) ?? 0, this.#valueAt),
     );
     return { ...delta, items };
   }
 
   /** Decodes entries; those whose base is gone stay missing, so that the delta is incomplete. */
-  #decode({ storeRevision, keys, items }: WireDelta): OrdersDelta {
+  #decode({ items, ...delta }: WireDelta): OrdersDelta {
     const decoded = items.flatMap((entry) => this.#codec.decode(entry, this.#valueAt) ?? []);
     const isComplete = decoded.length === items.length;
-    return { storeRevision: isComplete ? storeRevision : 0, keys, items: decoded };
+    if (!isComplete) return { storeRevision: 0, keys: delta.keys, items: decoded };
+    return { ...delta, items: decoded };
   }
 
   readonly #valueAt = (key: string, revision: number): Uint8Array | undefined =>
--- a/packages/orders/src/orders-follower.ts
+++ b/packages/orders/src/orders-follower.ts
@@ -1,14 +1,19 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
 import { headRegisterKey } from '@sequoiafield/membership';
-import { HistoryCompactedError, type RangeStore } from '@sequoiafield/store';
+import {
+  eraOf,
+  HistoryCompactedError,
+  type RangeStore,
+  type StoreRange,
+} from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System, type Tick } from '@sequoiafield/tables';
 import {
   RegisterKind,
   takesNewWork,
-  type MemberRow,
   type MemberView,
   type RegisterGossip,
 } from '@sequoiafield/types';
+import { selectFetchPeers } from './fetch-peers.js';
 import { FirstReadSchedule } from './first-read-schedule.js';
 import type { OrdersExchange } from './orders-exchange.js';
 import type { OrdersTable } from './orders-table.js';
@@ -132,7 +137,8 @@
     if (this.#isStopped) return;
     this.#trackGossipLag(tick.nowMs);
     this.#fetchAnnounced(tick.nowMs);
-    if (this.dependencies.table.storeRevision === 0) this.#askPeer(tick.nowMs);
+    const { table } = this.dependencies;
+    if (table.storeRevision === 0 || table.era.isUninformed) this.#askPeer(tick.nowMs);
     if (tick.nowMs < this.#retryAtMs) return;
     if (this.#isReadDue(tick.nowMs)) this.#read(tick.nowMs);
     else if (this.#isWatchDue(tick.nowMs)) this.#watch();
@@ -205,7 +211,9 @@
     this.#isReading = true;
     const { table } = this.dependencies;
     const isBehind = this.#behindSinceMs !== undefined;
-    const mayBeStale = table.storeRevision > 0 && !isBehind && nowMs >= this.#nextReadAtMs;
+    const isRegular = table.storeRevision > 0 && !isBehind && nowMs >= this.#nextReadAtMs;
+    // Only a read that is not stale shows that the store still lacks an entry.
+    const mayBeStale = isRegular && table.unconfirmedCount === 0;
     this.#readStore(mayBeStale)
       .then(
         () => this.#onAnswer(),
@@ -222,16 +230,23 @@
    * later ones arrive as changes or as the conflict of a write.
    */
   async #readStore(mayBeStale: boolean): Promise<void> {
-    const { table, store, ordersPrefix, recordsPrefix } = this.dependencies;
+    const { table, store, recordsPrefix } = this.dependencies;
     const isFirst = table.storeRevision === 0;
-    const range = await store.readRange(ordersPrefix, { mayBeStale });
+    const range = await this.#readOrders(mayBeStale);
     const hasMove = isFirst && range.items.some((item) => table.isMove(item));
     const records = hasMove ? await store.readRange(recordsPrefix) : undefined;
-    const heldRecords = table
-      .deltaSince(0)
-      .items.filter(({ key }) => key.startsWith(recordsPrefix));
-    const items = [...range.items, ...(records?.items ?? heldRecords)];
-    if (table.replaceAll({ items, storeRevision: range.storeRevision })) this.#onChanged();
+    const heldRecords = table.deltaSince(0).keys.filter((key) => key.startsWith(recordsPrefix));
+    const items = [...range.items, ...(records?.items ?? [])];
+    const { storeRevision } = range;
+    if (table.replaceAll({ items, storeRevision }, heldRecords)) this.#onChanged();
+  }
+
+  /** Reads the orders; the first answer of a new era of the store may not be stale. */
+  async #readOrders(mayBeStale: boolean): Promise<StoreRange> {
+    const { table, store, ordersPrefix } = this.dependencies;
+    const range = await store.readRange(ordersPrefix, { mayBeStale });
+    const isNewEra = eraOf(range.storeRevision) > table.era.era;
+    return mayBeStale && isNewEra ? store.readRange(ordersPrefix) : range;
   }
 
   #watch(): void {
@@ -295,34 +310,20 @@
   }
 
   async #fetchFromEach(wantedRevision: number, fromId: string): Promise<void> {
-    const { table, exchange } = this.dependencies;
-    const changedRevisionBefore = table.changedRevision;
+    const { table, exchange, members, watchers } = this.dependencies;
+    const changesBefore = table.changesCount;
     let lastError: unknown;
-    for (const peer of this.#peersFor(fromId)) {
+    for (const peer of selectFetchPeers(members, watchers, fromId)) {
       try {
         if (await exchange.fetchFrom(peer, wantedRevision)) break;
       } catch (error) {
         lastError = error;
       }
     }
-    if (table.changedRevision > changedRevisionBefore) this.#onChanged();
+    if (table.changesCount > changesBefore) this.#onChanged();
     if (table.storeRevision < wantedRevision && lastError !== undefined) throw lastError;
   }
 
-  /**
-   * Returns the peers to ask, in order: a sender in the own data centre and then the relay there; or the
-   * relay first and then a remote sender, because traffic between data centres is expensive.
-   */
-  #peersFor(fromId: string): readonly MemberRow[] {
-    const { members, watchers } = this.dependencies;
-    const self = members.get(members.selfId);
-    const sender = members.get(fromId);
-    const relay = watchers.ownDataCentreRelays().find(({ id }) => id !== members.selfId);
-    const isSenderLocal = sender?.dataCentre === self?.dataCentre;
-    const peers = isSenderLocal ? [sender, relay] : [relay, sender];
-    return [...new Set(peers.filter((peer) => peer !== undefined))];
-  }
-
   #onAnswer(): void {
     this.#lastAnswerAtMs = monotonicNowMs();
     this.#failures = 0;
--- a/packages/orders/src/test-support/fake-range-store.ts
+++ b/packages/orders/src/test-support/fake-range-store.ts
@@ -1,6 +1,10 @@
 import { DistributionError } from '@sequoiafield/errors';
 import {
+  eraOf,
   HistoryCompactedError,
+  isRemoval,
+  rawRevisionOf,
+  revisionInEra,
   StoreNotWrittenError,
   type RangeStore,
   type StoreChange,
@@ -38,22 +42,39 @@
 
   isHistoryCompacted = false;
 
-  readonly #items = new Map<string, StoreItem>();
-
   readonly #changes: StoreChange[] = [];
 
-  revision = 1;
+  #era = 0;
+
+  #rawRevision = 1;
+
+  get revision(): number {
+    return revisionInEra(this.#era, this.#rawRevision);
+  }
 
   put(key: string, text: string): void {
-    this.revision += 1;
-    const written = createTextItem(key, text, this.revision);
-    this.#items.set(key, written);
-    this.#changes.push(written);
+    this.#rawRevision += 1;
+    this.#changes.push(createTextItem(key, text, this.#rawRevision));
+  }
+
+  remove(key: string): void {
+    this.#rawRevision += 1;
+    this.#changes.push({ key, revision: this.#rawRevision, isRemoved: true });
+  }
+
+  /** Restores the store from a copy that lacks the last revisions, which are given again. */
+  restore(lostRevisions: number): void {
+    this.#rawRevision -= lostRevisions;
+    const kept = this.#changes.filter(({ revision }) => revision <= this.#rawRevision);
+    this.#changes.splice(0, this.#changes.length, ...kept);
+    this.#era += 1;
   }
 
   async readRange(prefix: string): Promise<StoreRange> {
     this.#recordCall();
-    const items = [...this.#items.values()].filter(({ key }) => key.startsWith(prefix));
+    const changes = this.#changesAfter(0).filter(({ key }) => key.startsWith(prefix));
+    const last = [...new Map(changes.map((change) => [change.key, change])).values()];
+    const items = last.filter((change): change is StoreItem => !isRemoval(change));
     return { items, storeRevision: this.revision };
   }
 
@@ -61,11 +82,11 @@
     this.#recordCall();
     const untilMs = monotonicNowMs() + waitMs;
     for (;;) {
-      if (this.isHistoryCompacted) {
+      if (this.isHistoryCompacted || eraOf(afterRevision) < this.#era) {
         this.isHistoryCompacted = false;
         throw new HistoryCompactedError(`Changes after revision ${afterRevision} are compacted`);
       }
-      const changes = this.#changes.filter(({ revision }) => revision > afterRevision);
+      const changes = this.#changesAfter(rawRevisionOf(afterRevision));
       const isDone = changes.length > 0 || monotonicNowMs() >= untilMs;
       if (isDone) return { changes, storeRevision: this.revision };
       await new Promise((resolve) => {
@@ -80,6 +101,14 @@
     );
   }
 
+  #changesAfter(rawRevision: number): StoreChange[] {
+    const changes = this.#changes.filter(({ revision }) => revision > rawRevision);
+    return changes.map((change) => ({
+      ...change,
+      revision: revisionInEra(this.#era, change.revision),
+    }));
+  }
+
   #recordCall(): void {
     this.calls += 1;
     if (this.failure) throw this.failure;
--- a/packages/types/src/mesh.ts
+++ b/packages/types/src/mesh.ts
@@ -137,6 +137,11 @@
 export interface MeshOrders {
   /** Revision of the store up to which the orders are complete. */
   readonly storeRevision: number;
+  /**
+   * Lowest revision that the store is known to have had in its current era: entries above it were
+   * written in the era, the others may belong to the copy from which the store was restored.
+   */
+  readonly eraStart?: number;
   readonly configuration: MeshConfiguration | undefined;
   /** Move orders, by service. */
   readonly moves: ReadonlyMap<string, MoveOrder>;
