Write the outcomes of moves again after a restore of the store

Cause: an outcome that was written after the copy was lost with the restore, and each judge went on to count it as stored. The higher revisions of the new era made a record of an earlier order count for the current one.

Change: a recorder knows in which era its outcome was stored, and writes it again in a later one; the first judge writes, the others find it in the conflict. A record of the copy counts for an order only if it was written later in the shared history or certainly in the new era, and Running replaces no final outcome. The judge does so for moves whose orders have ended, too.

--- a/packages/moves/src/move-judge.ts
+++ b/packages/moves/src/move-judge.ts
@@ -88,13 +88,30 @@
 
   run(tick: Tick): void {
     this.#announceEstablished(tick.nowMs);
-    for (const order of this.dependencies.orders.current().moves.values()) {
+    const { moves, eraStart = 0 } = this.dependencies.orders.current();
+    for (const order of moves.values()) {
       const move = this.#moveOf(order, tick.nowMs);
-      const judgeRank = this.dependencies.judges
-        .judgesOf(order.service)
-        .indexOf(this.dependencies.selfId);
+      const judgeRank = this.#judgeRankOf(order.service);
+      move.recorder.noteEra(eraStart);
       if (judgeRank >= 0) this.#judge(move, judgeRank, tick.nowMs);
     }
+    for (const [service, move] of this.#moves) {
+      if (!moves.has(service)) this.#rewriteOutcome(move, eraStart, tick.nowMs);
+    }
+  }
+
+  #judgeRankOf(service: string): number {
+    const { judges, selfId } = this.dependencies;
+    return judges.judgesOf(service).indexOf(selfId);
+  }
+
+  /** Writes the outcome of a move whose order has ended again if the store may have lost it. */
+  #rewriteOutcome(move: JudgedMove, eraStart: number, nowMs: number): void {
+    const { recorder, order } = move;
+    recorder.noteEra(eraStart);
+    if (!recorder.isRewriteDue || !recorder.isFinal) return;
+    const judgeRank = this.#judgeRankOf(order.service);
+    if (judgeRank >= 0) this.#recordByRank(move, recorder.storedOutcome!, judgeRank, nowMs);
   }
 
   /**
@@ -120,12 +137,13 @@
   #moveOf(order: MoveOrder, nowMs: number): JudgedMove {
     const known = this.#moves.get(order.service);
     if (known?.order.revision === order.revision) return known;
-    const record = this.dependencies.orders.current().moveRecords.get(order.service);
+    const { moveRecords, eraStart } = this.dependencies.orders.current();
+    const record = moveRecords.get(order.service);
     const move: JudgedMove = {
       order,
       startedAtMs: nowMs,
       evidenceTable: new ServerEvidenceTable(order.revision),
-      recorder: new MoveRecorder(order, this.dependencies, record),
+      recorder: new MoveRecorder(order, this.dependencies, record, eraStart),
       samples: [],
       stageSample: undefined,
       stageSinceMs: nowMs,
@@ -223,7 +241,7 @@
   /** Writes an outcome after a delay that grows with the rank of this judge. */
   #recordByRank(move: JudgedMove, outcome: MoveOutcome, judgeRank: number, nowMs: number): void {
     const changed = move;
-    if (move.recorder.storedOutcome === outcome) {
+    if (move.recorder.storedOutcome === outcome && !move.recorder.isRewriteDue) {
       changed.outcomeSinceMs = undefined;
       return;
     }
--- a/packages/moves/src/move-recorder.ts
+++ b/packages/moves/src/move-recorder.ts
@@ -1,5 +1,11 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
-import type { RangeStore, StoreItem } from '@sequoiafield/store';
+import {
+  absentRevision,
+  eraOf,
+  isWrittenLater,
+  type RangeStore,
+  type StoreItem,
+} from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource } from '@sequoiafield/tables';
 import { MoveOutcome, type MoveOrder, type MoveRecord } from '@sequoiafield/types';
 
@@ -14,6 +20,9 @@
 /** Mean delay before a failed write is retried; jittered by 50 % up and down. */
 const retryMs = 300;
 
+const isFinal = (outcome: MoveOutcome | undefined): boolean =>
+  outcome !== undefined && outcome !== MoveOutcome.Running;
+
 /** Dependencies of a recorder. */
 export interface MoveRecorderDependencies {
   readonly store: RangeStore;
@@ -25,7 +34,8 @@
 /**
  * Writes the outcome of one order if its key still has the revision that was read before. Several
  * judges may write; the first final outcome is kept, and the other judges read it from the write
- * conflict.
+ * conflict. An outcome that was stored in a former era of the store is written again, since the copy from
+ * which the store was restored may lack it.
  */
 export class MoveRecorder {
   #revision = 0;
@@ -33,6 +43,12 @@
   /** Outcome that the store holds for this order. */
   #storedOutcome: MoveOutcome | undefined;
 
+  /** Version from which the move started, as stored with the outcome. */
+  #storedFromVersion: string | undefined;
+
+  /** Revision at which the outcome was stored or read. */
+  #storedRevision = 0;
+
   #isBusy = false;
 
   #nextAtMs = 0;
@@ -41,6 +57,8 @@
     private readonly order: MoveOrder,
     private readonly dependencies: MoveRecorderDependencies,
     knownRecord: MoveRecord | undefined,
+    /** Lowest revision that the store is known to have had in its current era. */
+    private eraStart = 0,
   ) {
     if (knownRecord) this.#applyRecord(knownRecord);
   }
@@ -49,17 +67,32 @@
     return this.#storedOutcome;
   }
 
+  /** Whether the outcome was stored in a former era, and the store may have lost it. */
+  get isRewriteDue(): boolean {
+    return this.#storedOutcome !== undefined && eraOf(this.#storedRevision) < eraOf(this.eraStart);
+  }
+
+  /** Whether the stored outcome is final. */
+  get isFinal(): boolean {
+    return isFinal(this.#storedOutcome);
+  }
+
+  /** Takes over the era of the store by its lowest known revision; called each tick. */
+  noteEra(eraStart: number): void {
+    this.eraStart = eraStart;
+  }
+
   /**
    * Starts to write an outcome unless it is stored already, the stored one is final, a write is
    * running, or the delay after a failed write has not passed.
    */
   record(outcome: MoveOutcome, fromVersion?: string): void {
-    const isFinal =
-      this.#storedOutcome !== undefined && this.#storedOutcome !== MoveOutcome.Running;
-    if (isFinal || this.#storedOutcome === outcome) return;
+    const isStored = this.isFinal || this.#storedOutcome === outcome;
+    if (isStored && !this.isRewriteDue) return;
     if (this.#isBusy || monotonicNowMs() < this.#nextAtMs) return;
     this.#isBusy = true;
-    this.#write(outcome, fromVersion)
+    const stored = { outcome: this.#storedOutcome!, fromVersion: this.#storedFromVersion };
+    this.#write(isStored ? stored : { outcome, fromVersion })
       .catch((error: unknown) => {
         const { service, toVersion } = this.order;
         const fields = { service, toVersion, outcome, error: String(error) };
@@ -71,15 +104,21 @@
       });
   }
 
-  async #write(outcome: MoveOutcome, fromVersion: string | undefined): Promise<void> {
+  async #write({
+    outcome,
+    fromVersion,
+  }: Pick<MoveRecord, 'outcome' | 'fromVersion'>): Promise<void> {
     const { store, codec, logger } = this.dependencies;
     const { service, toVersion } = this.order;
     const key = codec.keyOf(service);
     const value = codec.encode({ service, toVersion, outcome, fromVersion });
-    const result = await store.writeIf([{ key, revision: this.#revision }], [{ key, value }]);
+    // The revision of a former era stands for nothing; the conflict delivers the copy's record.
+    const isOfEra = eraOf(this.#revision) >= eraOf(this.eraStart);
+    const revision = isOfEra ? this.#revision : absentRevision;
+    const result = await store.writeIf([{ key, revision }], [{ key, value }]);
     if (result.kind === 'written') {
       this.#revision = result.revision;
-      this.#storedOutcome = outcome;
+      this.#setStored({ outcome, fromVersion, revision: result.revision });
       logger.log(logEvents.moveRecorded, { service, toVersion, outcome });
       return;
     }
@@ -93,7 +132,16 @@
   #applyRecord(record: MoveRecord): void {
     this.#revision = record.revision;
     const isForOrder =
-      record.revision > this.order.revision && record.toVersion === this.order.toVersion;
-    if (isForOrder) this.#storedOutcome = record.outcome;
+      isWrittenLater(record.revision, this.order.revision, this.eraStart) &&
+      record.toVersion === this.order.toVersion;
+    // A copy may hold the record of a move that ran when it was made.
+    const isOlder = this.isFinal && !isFinal(record.outcome);
+    if (isForOrder && !isOlder) this.#setStored(record);
+  }
+
+  #setStored(record: Pick<MoveRecord, 'outcome' | 'fromVersion' | 'revision'>): void {
+    this.#storedOutcome = record.outcome;
+    this.#storedFromVersion = record.fromVersion;
+    this.#storedRevision = record.revision;
   }
 }
--- a/packages/moves/src/test-support/fake-record-store.ts
+++ b/packages/moves/src/test-support/fake-record-store.ts
@@ -1,4 +1,6 @@
 import {
+  eraOf,
+  revisionInEra,
   StoreNotWrittenError,
   type RangeStore,
   type StoreChanges,
@@ -30,6 +32,13 @@
 
   #revision = 20;
 
+  /** Restores the store from a copy with this item, whose revision is the one of the former era. */
+  restore(copied: StoreItem | undefined): void {
+    const era = eraOf(this.#revision) + 1;
+    this.item = copied && { ...copied, revision: revisionInEra(era, copied.revision) };
+    this.#revision = revisionInEra(era, copied?.revision ?? 19);
+  }
+
   readRange(): Promise<StoreRange> {
     return Promise.reject(new StoreNotWrittenError('FakeRecordStore does not support readRange'));
   }
@@ -43,6 +52,9 @@
     [write]: readonly StoreWrite[],
   ): Promise<WriteResult> {
     if (this.isDown) throw new StoreNotWrittenError('FakeRecordStore is set to be down');
+    const isFormer =
+      condition!.revision !== 0 && eraOf(condition!.revision) < eraOf(this.#revision);
+    if (isFormer) return { kind: 'conflict', items: [] };
     if ((this.item?.revision ?? 0) !== condition?.revision) {
       return { kind: 'conflict', items: this.item ? [this.item] : [] };
     }
