Write the seeds again after a restore of the store, and report its era

Cause: a seeds record that the copy lacks, or that has a lower revision there, was not taken over by the nodes, and its seeds came back only with the next regular write.

Change: the seeds of the last record write the lost ones again, one after the other until one has written. A record of a new era replaces the known one. Metrics name the era of the store and the entries in force that the restored store does not show.

--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -310,6 +310,7 @@
     store: platform.store,
     random,
     logger,
+    storeEra: () => orders.storeEra(),
   });
   const systems = [
     ...[
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -182,6 +182,12 @@
         return rows.filter(({ service, state }) => service !== '' && takesNewWork(state)).length;
       }),
       source('orders_revision', 'Revision in force', () => orders.view.current().storeRevision),
+      source('store_era', 'Era of the store, which rises with each restore from a copy', () =>
+        orders.storeEra(),
+      ),
+      source('orders_unconfirmed', 'Entries in force that the restored store does not show', () =>
+        orders.unconfirmedEntries(),
+      ),
       source(
         'config_version',
         'Configuration in force',
--- a/packages/mesh-node/src/seed-registrar.test.ts
+++ b/packages/mesh-node/src/seed-registrar.test.ts
@@ -16,6 +16,9 @@
 
   readonly joined = new Set<string>();
 
+  /** Era of the store that the nodes have seen. */
+  storeEra = 0;
+
   constructor(count: number, firstIndex = 0) {
     for (let index = firstIndex; index < firstIndex + count; index++) this.#start(index);
   }
@@ -38,6 +41,7 @@
     const registrar = new SeedRegistrar({
       ...{ self, membership, store: this.store as unknown as RangeStore },
       ...{ random: new SeededRandom(hashText32(self.id)), logger: new SilentLogger() },
+      storeEra: () => this.storeEra,
     });
     new TickLoop([registrar], (_, error) => assert.fail(String(error))).start();
   }
@@ -79,6 +83,22 @@
   await checkStart(194);
 });
 
+test('the seeds that the copy of a restored store lacks are written again once', async () => {
+  // Guards against a record that stays without the seeds of the fleet, and against a write of each seed.
+  for (const lostVersions of [1, 100]) {
+    const fleet = new SeedsFleet(14);
+    await clock.advance(60_000, 20);
+    const { seeds } = decodeSeeds(fleet.store.current());
+    const { writes } = fleet.store;
+    fleet.store.restore(lostVersions);
+    fleet.storeEra = 1;
+    await clock.advance(4000, 20);
+    const restored = decodeSeeds(fleet.store.current()).seeds;
+    assert.deepEqual(new Set(restored.map(({ id }) => id)), new Set(seeds.map(({ id }) => id)));
+    assert.equal(fleet.store.writes - writes, 1);
+  }
+});
+
 test('a record with odd entries is read without them and replaced', () => {
   // Guards against one odd entry that keeps a node from joining.
   const odd = [
--- a/packages/mesh-node/src/seed-registrar.ts
+++ b/packages/mesh-node/src/seed-registrar.ts
@@ -1,8 +1,9 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
 import type { Membership } from '@sequoiafield/membership';
-import type { RangeStore } from '@sequoiafield/store';
+import { eraOf, type RangeStore, type StoreRange } from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System, type Tick } from '@sequoiafield/tables';
 import { MemberState, type Seed } from '@sequoiafield/types';
+import { RecordRewrite } from './record-rewrite.js';
 import { decodeSeeds, encodeSeeds, type SeedsRecord } from './seeds-record.js';
 
 /** Key of the only seeds record; with a single key a later writer sees all earlier entries. */
@@ -36,6 +37,8 @@
   readonly store: RangeStore;
   readonly random: RandomSource;
   readonly logger: Logger;
+  /** Returns the era of the store; it is 0 if left out. */
+  readonly storeEra?: () => number;
 }
 
 /**
@@ -43,7 +46,8 @@
  *
  * Answers a fleet of hundreds of nodes that starts at once: each reads the record, with reads that may
  * be some seconds old and cost little, but only a few write. A node that peers already know reads and
- * writes next to nothing.
+ * writes next to nothing. After a restore of the store from an older copy, the first seed that lives
+ * writes the lost seeds again.
  *
  * @example
  * const registrar = new SeedRegistrar({ self, membership, store, random, logger });
@@ -66,15 +70,24 @@
   /** Latest record that was read. */
   #record: SeedsRecord = { seeds: [], revision: 0 };
 
+  /** Era of the store in which that record was read. */
+  #recordEra = 0;
+
+  readonly #rewrite = new RecordRewrite();
+
   constructor(private readonly options: SeedRegistrarOptions) {}
 
   run(tick: Tick): void {
     // The cube root moves the times of many nodes towards the end of the delay.
     this.#writesSelfAtMs ??=
       tick.nowMs + firstWriteDelayMaxMs * Math.cbrt(this.options.random.next());
-    if (this.#isBusy || tick.nowMs < this.#nextReadAtMs || !this.#isReadDue(tick.nowMs)) return;
+    const { self, storeEra } = this.options;
+    this.#rewrite.noteEra(storeEra?.() ?? 0, this.#record.seeds, self.id, tick.nowMs);
+    if (this.#isBusy) return;
+    const isRewriteDue = this.#rewrite.isDue(tick.nowMs);
+    if (!isRewriteDue && (tick.nowMs < this.#nextReadAtMs || !this.#isReadDue(tick.nowMs))) return;
     this.#isBusy = true;
-    this.#refreshRecord(tick.nowMs)
+    (isRewriteDue ? this.#rewriteRecord(tick.nowMs) : this.#refreshRecord(tick.nowMs))
       .catch((error: unknown) => {
         this.options.logger.log(logEvents.seedsUnavailable, { error: String(error) });
       })
@@ -122,12 +135,32 @@
       return;
     }
     const range = await this.options.store.readRange(seedsKey, { mayBeStale: true });
-    this.#useRecord(decodeSeeds(range.items.find(({ key }) => key === seedsKey)), nowMs);
+    this.#useRange(range, nowMs);
     if (!wasAlone && this.#hasRoom()) await this.#write();
   }
 
-  #useRecord(record: SeedsRecord, nowMs: number): void {
-    if (record.revision < this.#record.revision) return;
+  /** Writes the seeds of a former era again that the record lacks. */
+  async #rewriteRecord(nowMs: number): Promise<void> {
+    this.#rewrite.delay(nowMs);
+    this.#useRange(await this.options.store.readRange(seedsKey), nowMs);
+    const lost = this.#rewrite.lostSeeds(this.#record.seeds);
+    const lostLive = lost.filter(({ id }) => !this.#isDeadOrLeft(id));
+    const isLacking = lostLive.length > 0 && this.#liveSeeds().length < seedsMax;
+    if (!isLacking || (await this.#write(lostLive))) this.#rewrite.end();
+  }
+
+  #useRange({ items, storeRevision }: StoreRange, nowMs: number): void {
+    const record = decodeSeeds(items.find(({ key }) => key === seedsKey));
+    this.#useRecord(record, eraOf(storeRevision), nowMs);
+  }
+
+  #useRecord(record: SeedsRecord, era: number, nowMs: number): void {
+    if (era < this.#recordEra) return;
+    // This read may be the first that shows the new era; the record of the former one is lost by it.
+    this.#rewrite.noteEra(era, this.#record.seeds, this.options.self.id, nowMs);
+    // In a new era the record may be gone, or have a lower revision.
+    if (era === this.#recordEra && record.revision < this.#record.revision) return;
+    this.#recordEra = era;
     this.#record = record;
     const hasOthers = record.seeds.some(({ id }) => id !== this.options.self.id);
     // The seeds get time to answer before this node takes them for gone.
@@ -159,23 +192,31 @@
   #hasRoom(): boolean {
     const { seeds } = this.#record;
     if (seeds.some(({ id }) => id === this.options.self.id)) return false;
-    return seeds.filter(({ id }) => !this.#isDeadOrLeft(id)).length < seedsMax;
+    return this.#liveSeeds().length < seedsMax;
+  }
+
+  #liveSeeds(): readonly Seed[] {
+    return this.#record.seeds.filter(({ id }) => !this.#isDeadOrLeft(id));
   }
 
-  /** Writes this node into the record; a conflict delivers the record as it is now. */
-  async #write(): Promise<void> {
+  /**
+   * Writes this node and further seeds into the record; a conflict delivers the record as it is now.
+   * Returns whether the record was written.
+   */
+  async #write(further: readonly Seed[] = []): Promise<boolean> {
     const { self, store } = this.options;
-    const { seeds: known, revision } = this.#record;
-    const others = known.filter(({ id }) => id !== self.id && !this.#isDeadOrLeft(id));
+    const { revision } = this.#record;
+    const others = [...this.#liveSeeds(), ...further].filter(({ id }) => id !== self.id);
     const seeds = [self, ...others].slice(0, seedsMax);
     const result = await store.writeIf(
       [{ key: seedsKey, revision }],
       [{ key: seedsKey, value: encodeSeeds(seeds) }],
     );
-    const record =
-      result.kind === 'written'
-        ? { seeds, revision: result.revision }
-        : decodeSeeds(result.items.find(({ key }) => key === seedsKey));
-    this.#useRecord(record, monotonicNowMs());
+    const isWritten = result.kind === 'written';
+    const record = isWritten
+      ? { seeds, revision: result.revision }
+      : decodeSeeds(result.items.find(({ key }) => key === seedsKey));
+    this.#useRecord(record, eraOf(record.revision), monotonicNowMs());
+    return isWritten;
   }
 }
