--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -314,6 +314,7 @@
     store: platform.store,
     random,
     logger,
+    storeEra: () => orders.storeEra(),
   });
   const systems = [
     ...[
