Start pipelined requests in their turn, and bound what a connection has pending

Cause: the HTTP server starts each request of a connection as soon as it is parsed.

Change: PipelinedRequests decides when each request starts. Behind an unanswered request only idempotent ones run, none at a stopping node, and none behind an answer that closes.

--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -43,8 +43,9 @@
       return true;
     } catch {
       // Resets the connection, since an orderly close would end a body without a length as if
-      // complete.
-      response.socket?.resetAndDestroy();
+      // complete. Behind unsent answers, it is reset when the turn of this one comes.
+      if (response.socket) response.socket.resetAndDestroy();
+      else response.destroy();
       return false;
     }
   }
@@ -59,7 +60,7 @@
     const headers = [this.protocol.requestIdHeader, requestId];
     for (const [name, value] of head.headers) headers.push(name, value);
     headers.push('content-type', 'application/json', 'content-length', String(body.byteLength));
-    if (isClosing || this.isClosing()) headers.push('connection', 'close');
+    if (isClosing || this.isClosing()) this.#close(headers);
     response.writeHead(head.status, headers);
     response.end(response.req.method === 'HEAD' ? undefined : body);
   }
@@ -67,10 +68,16 @@
   #createHeaders(answer: CallAnswer): string[] {
     const headers = [this.protocol.requestIdHeader, this.requestId];
     for (const [name, value] of answer.headers) headers.push(name, value);
-    if (this.isClosing()) headers.push('connection', 'close');
+    if (this.isClosing()) this.#close(headers);
     return headers;
   }
 
+  #close(headers: string[]): void {
+    headers.push('connection', 'close');
+    // Read by `PipelinedRequests`, which starts nothing behind this response.
+    this.response.shouldKeepAlive = false;
+  }
+
   #needsLength(answer: CallAnswer): boolean {
     if (this.response.req.method === 'HEAD' || bodilessStatuses.has(answer.status)) return false;
     return !answer.headers.some(([name]) => name === 'content-length');
--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -18,10 +18,12 @@
 import { CallScope } from './call-scope.js';
 import type { CallCounters } from './call-counters.js';
 import { DefaultCallProtocol, type CallProtocol } from './call-protocol.js';
+import { refuseMalformedRequest } from './client-errors.js';
 import { closeWhenQuiet } from './close-when-quiet.js';
 import { forwardHeaders } from './headers.js';
 import { pathOf, readDeadlineMs, readRequestId } from './inbound-request.js';
 import { LateRequestGuard } from './late-request-guard.js';
+import { PipelinedRequests } from './pipelined-requests.js';
 import { createNotRunRefusal, toRefusalResult, httpStatusOf } from './refusals.js';
 import { RequestBodyReader, type RequestBody } from './request-body.js';
 import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
@@ -59,6 +61,9 @@
 
   readonly #arrivalCheck: ArrivalCheck;
 
+  /** Order and bounds of the requests of each connection. */
+  readonly pipelinedRequests = new PipelinedRequests(() => this.#isClosing || this.#isDraining);
+
   #requestCount = 0;
 
   constructor(private readonly options: CallProxyOptions) {
@@ -71,6 +76,12 @@
       forceCloseConnections: 'idle',
       return503OnClosing: false,
       exposeHeadRoutes: false,
+      clientErrorHandler: (error, socket) => {
+        // The bytes behind unanswered requests get no answer, which would be taken for theirs.
+        if (!this.pipelinedRequests.endAfterPending(socket)) {
+          refuseMalformedRequest(error, socket);
+        }
+      },
       frameworkErrors: (_error, request, reply) => {
         reply.hijack();
         this.#accept(request.raw, reply.raw);
@@ -172,6 +183,20 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     // A wait for a close of the caller counts towards the deadline.
     const arrivedAtMs = monotonicNowMs();
+    this.pipelinedRequests.accept({
+      request,
+      response,
+      isIdempotent: () => this.#isIdempotent(request),
+      start: (hasWaitedUnread) => this.#start(request, response, arrivedAtMs, hasWaitedUnread),
+    });
+  }
+
+  #start(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAtMs: number,
+    hasWaitedUnread: boolean,
+  ): void {
     const requestId = readRequestId(request, this.#protocol) ?? this.#nextRequestId();
     response.on('close', this.#runningCalls.begin(requestId));
     const abandon = (): void => {
@@ -180,7 +205,14 @@
     const start = (): void => {
       this.#handle(request, response, requestId, arrivedAtMs).catch(abandon);
     };
-    this.#lateRequestGuard.check(request, start, abandon);
+    this.#lateRequestGuard.check(request, hasWaitedUnread, start, abandon);
+  }
+
+  /** Whether a request may run twice; one without a route does not run. */
+  #isIdempotent(request: IncomingMessage): boolean {
+    const { method = 'GET', url = '/', headers } = request;
+    const match = this.options.router.match(method, pathOf(url), headers.host ?? '');
+    return match?.route.isIdempotent ?? true;
   }
 
   async #handle(
@@ -191,7 +223,8 @@
   ): Promise<void> {
     const scope = new CallScope();
     response.on('close', () => scope.end(response.writableFinished));
-    const isClosing = (): boolean => this.#isClosing;
+    const isClosing = (): boolean =>
+      this.#isClosing || this.pipelinedRequests.isLast(request, response);
     const writer = new AnswerWriter(response, requestId, this.#protocol, isClosing);
     const result = await this.#runCall(request, requestId, scope, arrivedAtMs);
     await this.#writeResult(result, writer, !request.complete);
--- a/packages/calls/src/late-request-guard.ts
+++ b/packages/calls/src/late-request-guard.ts
@@ -34,10 +34,16 @@
 
   /**
    * Calls `onPresent` for a request whose caller may wait, or `onAbandoned` if the caller closed the
-   * connection; called when the request has been read.
+   * connection; called when the request has been read. `hasWaitedUnread` is true if it is known to have
+   * waited.
    */
-  check(request: IncomingMessage, onPresent: () => void, onAbandoned: () => void): void {
-    if (!this.#mayHaveWaited(request)) {
+  check(
+    request: IncomingMessage,
+    hasWaitedUnread: boolean,
+    onPresent: () => void,
+    onAbandoned: () => void,
+  ): void {
+    if (!this.#mayHaveWaited(request) && !hasWaitedUnread) {
       onPresent();
       return;
     }
