Treat an answer with an invalid status as a failed exchange

Cause: the status of an answer was passed on unchecked by the exchange with the own server (600 and 999), by the decoder of answer frames (any value) and by the writer to callers, which reset the connection or wrote it. Change: isAnswerStatus accepts whole numbers from 200 to 599; each of the three hops checks it. The exchange and the frame end as unknown, so that an idempotent request is tried elsewhere and others get 502, and the writer answers 502. Informational heads before an answer are still skipped.

--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -1,8 +1,9 @@
 import type { ServerResponse } from 'node:http';
-import { BodyChannel } from '@sequoiafield/transport';
-import type { CallAnswer, CallRefusal } from '@sequoiafield/types';
+import { BodyChannel, isAnswerStatus } from '@sequoiafield/transport';
+import { RefusalReason, type CallAnswer, type CallRefusal } from '@sequoiafield/types';
 import type { CallProtocol } from './call-protocol.js';
 import { bodilessStatuses } from './headers.js';
+import { createUnknownOutcomeRefusal } from './refusals.js';
 
 /** Writes the result of a call to its caller's connection. */
 export class AnswerWriter {
@@ -28,6 +29,13 @@
       await body[Symbol.asyncIterator]().return?.();
       return false;
     }
+    if (!isAnswerStatus(answer.status)) {
+      await body[Symbol.asyncIterator]().return?.();
+      const detail = 'the answer has an invalid status';
+      const refusal = createUnknownOutcomeRefusal(RefusalReason.BackendServerFailed, detail);
+      this.writeRefusal(refusal, false);
+      return false;
+    }
     const wholeBody = body instanceof BodyChannel ? body.takeWhole() : undefined;
     const headers = this.#createHeaders(answer);
     if (wholeBody) {
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -1,5 +1,5 @@
 import { CallError } from '@sequoiafield/errors';
-import { BodyChannel, type BodyChannelOwner } from '@sequoiafield/transport';
+import { BodyChannel, isAnswerStatus, type BodyChannelOwner } from '@sequoiafield/transport';
 import { monotonicNowMs } from '@sequoiafield/tables';
 import { bodyMaxBytes, RefusalReason, type CallOpen, type CallRefusal } from '@sequoiafield/types';
 import type { Dispatcher } from 'undici';
@@ -13,6 +13,8 @@
 const bufferMaxBytes = 256 * 1024;
 /** Bytes of a refusal's body that are read and dropped, so that its connection can be reused. */
 const refusalBodyMaxBytes = 16 * 1024;
+const informationalStatusMin = 100;
+const answerStatusMin = 200;
 const serverErrorStatusMin = 500;
 
 const decodeHeaders = (raw: readonly (Buffer | string)[]): string[] =>
@@ -155,7 +157,11 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (status < 200) return;
+    if (status >= informationalStatusMin && status < answerStatusMin) return;
+    if (!isAnswerStatus(status)) {
+      controller.abort(new CallError(`The answer has the invalid status ${status}`));
+      return;
+    }
     const raw = decodeHeaders((controller.rawHeaders ?? []) as (Buffer | string)[]);
     const headers = pairHeaders(raw);
     const { protocol } = this.options;
--- a/packages/transport/src/call-codec.ts
+++ b/packages/transport/src/call-codec.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr';
 import type { AttemptId, CallAnswer, CallOpen, CallRefusal, LoadReport } from '@sequoiafield/types';
+import { isAnswerStatus } from './answer-status.js';
 
 type WireArray = readonly unknown[];
 type Headers = readonly (readonly [string, string])[];
@@ -116,8 +117,10 @@
 export const encodeAnswer = (head: CallAnswerHead): Buffer =>
   packr.pack([head.status, flattenHeaders(head.headers), loadToWire(head.load)]);
 
-export const decodeAnswer = (payload: Buffer): CallAnswerHead => {
+/** Decodes the head of an answer; returns undefined if its status is none of an answer. */
+export const decodeAnswer = (payload: Buffer): CallAnswerHead | undefined => {
   const wire = packr.unpack(payload);
+  if (!isAnswerStatus(wire[0])) return undefined;
   return {
     status: wire[0],
     headers: pairHeaders(wire[1]),
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,3 +1,4 @@
+export { isAnswerStatus } from './answer-status.js';
 export { AttemptSequence } from './attempt-sequence.js';
 export { AttemptCheckResult, type AttemptGuard } from './attempt-guard.js';
 export { Cancellation } from './cancellation.js';
--- a/packages/transport/src/outbound-attempt.ts
+++ b/packages/transport/src/outbound-attempt.ts
@@ -138,6 +138,16 @@
     const session = this.#session!;
     const { sequence } = this;
     const { limits, mechanisms } = this.context;
+    const head = decodeAnswer(payload);
+    if (!head) {
+      session.connection.write(encodeFrame(FrameKind.Cancel, sequence));
+      this.#resolveRefusal({
+        outcome: RefusalOutcome.Unknown,
+        reason: RefusalReason.BackendServerFailed,
+        detail: 'the receiving node sent an answer with an invalid status',
+      });
+      return;
+    }
     const onAborted = (): void => {
       session.connection.write(encodeFrame(FrameKind.Cancel, sequence));
       this.#end();
@@ -151,7 +161,6 @@
       onAborted,
     );
     this.#answerReceiver = answerReceiver;
-    const head = decodeAnswer(payload);
     this.#resolve({ kind: 'answer', answer: { ...head, body: answerReceiver.channel } });
   }
 
