--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -1,8 +1,9 @@
 import type { ServerResponse } from 'node:http';
-import { BodyChannel } from '@sequoiafield/transport';
+import { BodyChannel, isAnswerStatus } from '@sequoiafield/transport';
 import { RefusalReason, type CallAnswer, type CallRefusal } from '@sequoiafield/types';
 import type { CallProtocol } from './call-protocol.js';
 import { bodilessStatuses } from './headers.js';
+import { createUnknownOutcomeRefusal } from './refusals.js';
 
 /** Challenge of an answer with status 401, which must have one (RFC 9110, section 15.5.2). */
 const keyChallenge = 'ApiKey';
@@ -31,6 +32,13 @@
       await body[Symbol.asyncIterator]().return?.();
       return false;
     }
+    if (!isAnswerStatus(answer.status)) {
+      await body[Symbol.asyncIterator]().return?.();
+      const detail = 'the answer has an invalid status';
+      const refusal = createUnknownOutcomeRefusal(RefusalReason.BackendServerFailed, detail);
+      this.writeRefusal(refusal, false);
+      return false;
+    }
     const wholeBody = body instanceof BodyChannel ? body.takeWhole() : undefined;
     const headers = this.#createHeaders(answer);
     if (wholeBody) {
@@ -46,8 +54,9 @@
       return true;
     } catch {
       // Resets the connection, since an orderly close would end a body without a length as if
-      // complete.
-      response.socket?.resetAndDestroy();
+      // complete. Behind unsent answers, it is reset when the turn of this one comes.
+      if (response.socket) response.socket.resetAndDestroy();
+      else response.destroy();
       return false;
     }
   }
@@ -63,7 +72,7 @@
     for (const [name, value] of head.headers) headers.push(name, value);
     if (reason === RefusalReason.UnknownKey) headers.push('www-authenticate', keyChallenge);
     headers.push('content-type', 'application/json', 'content-length', String(body.byteLength));
-    if (isClosing || this.isClosing()) headers.push('connection', 'close');
+    if (isClosing || this.isClosing()) this.#close(headers);
     response.writeHead(head.status, headers);
     response.end(response.req.method === 'HEAD' ? undefined : body);
   }
@@ -71,10 +80,16 @@
   #createHeaders(answer: CallAnswer): string[] {
     const headers = [this.protocol.requestIdHeader, this.requestId];
     for (const [name, value] of answer.headers) headers.push(name, value);
-    if (this.isClosing()) headers.push('connection', 'close');
+    if (this.isClosing()) this.#close(headers);
     return headers;
   }
 
+  #close(headers: string[]): void {
+    headers.push('connection', 'close');
+    // Read by `PipelinedRequests`, which starts nothing behind this response.
+    this.response.shouldKeepAlive = false;
+  }
+
   #needsLength(answer: CallAnswer): boolean {
     if (this.response.req.method === 'HEAD' || bodilessStatuses.has(answer.status)) return false;
     return !answer.headers.some(([name]) => name === 'content-length');
--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -3,15 +3,14 @@
 import { CallError } from '@sequoiafield/errors';
 import { monotonicNowMs, type System } from '@sequoiafield/tables';
 import {
-  CapacityMode,
   RefusalReason,
   type CallRefusal,
   type CallResult,
   type ClientLimits,
-  type RouteMatch,
   RefusalOutcome,
 } from '@sequoiafield/types';
 import { fastify, type FastifyInstance } from 'fastify';
+import { AnswerDueTimes } from './answer-due-times.js';
 import { AnswerWriter } from './answer-writer.js';
 import { ArrivalCheck } from './arrival-check.js';
 import type { CallProxyOptions } from './call-proxy-options.js';
@@ -20,11 +19,12 @@
 import { CallScope } from './call-scope.js';
 import type { CallCounters } from './call-counters.js';
 import { DefaultCallProtocol, type CallProtocol } from './call-protocol.js';
-import { CallerDeadlines } from './caller-deadlines.js';
+import { refuseMalformedRequest } from './client-errors.js';
 import { closeWhenQuiet } from './close-when-quiet.js';
 import { forwardHeaders } from './headers.js';
-import { pathOf, readCallerDeadlineMs, readDeadlineMs, readRequestId } from './inbound-request.js';
+import { pathOf, readDeadlineMs, readRequestId } from './inbound-request.js';
 import { LateRequestGuard } from './late-request-guard.js';
+import { PipelinedRequests } from './pipelined-requests.js';
 import { createNotRunRefusal, toRefusalResult, httpStatusOf } from './refusals.js';
 import { RequestBodyReader, type RequestBody } from './request-body.js';
 import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
@@ -62,7 +62,10 @@
 
   readonly #arrivalCheck: ArrivalCheck;
 
-  readonly #callerDeadlines = new CallerDeadlines();
+  readonly #answerDueTimes: AnswerDueTimes;
+
+  /** Order and bounds of the requests of each connection. */
+  readonly pipelinedRequests = new PipelinedRequests(() => this.#isClosing || this.#isDraining);
 
   #requestCount = 0;
 
@@ -70,12 +73,19 @@
     this.counters = options.receiver.counters;
     this.#retryPolicy = options.retryPolicy ?? new SafeRetryPolicy();
     this.#protocol = options.protocol ?? new DefaultCallProtocol();
+    this.#answerDueTimes = new AnswerDueTimes(this.#protocol);
     this.#server = fastify({
       logger: false,
       keepAliveTimeout: keepAliveTimeoutMs,
       forceCloseConnections: 'idle',
       return503OnClosing: false,
       exposeHeadRoutes: false,
+      clientErrorHandler: (error, socket) => {
+        // The bytes behind unanswered requests get no answer, which would be taken for theirs.
+        if (!this.pipelinedRequests.endAfterPending(socket)) {
+          refuseMalformedRequest(error, socket);
+        }
+      },
       frameworkErrors: (_error, request, reply) => {
         reply.hijack();
         this.#accept(request.raw, reply.raw);
@@ -177,6 +187,20 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     // A wait for a close of the caller counts towards the deadline.
     const arrivedAtMs = monotonicNowMs();
+    this.pipelinedRequests.accept({
+      request,
+      response,
+      isIdempotent: () => this.#isIdempotent(request),
+      start: (hasWaitedUnread) => this.#start(request, response, arrivedAtMs, hasWaitedUnread),
+    });
+  }
+
+  #start(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAtMs: number,
+    hasWaitedUnread: boolean,
+  ): void {
     const requestId = readRequestId(request, this.#protocol) ?? this.#nextRequestId();
     response.on('close', this.#runningCalls.begin(requestId));
     const abandon = (): void => {
@@ -185,7 +209,14 @@
     const start = (): void => {
       this.#handle(request, response, requestId, arrivedAtMs).catch(abandon);
     };
-    this.#lateRequestGuard.check(request, start, abandon);
+    this.#lateRequestGuard.check(request, hasWaitedUnread, start, abandon);
+  }
+
+  /** Whether a request may run twice; one without a route does not run. */
+  #isIdempotent(request: IncomingMessage): boolean {
+    const { method = 'GET', url = '/', headers } = request;
+    const match = this.options.router.match(method, pathOf(url), headers.host ?? '');
+    return match?.route.isIdempotent ?? true;
   }
 
   async #handle(
@@ -196,7 +227,8 @@
   ): Promise<void> {
     const scope = new CallScope();
     response.on('close', () => scope.end(response.writableFinished));
-    const isClosing = (): boolean => this.#isClosing;
+    const isClosing = (): boolean =>
+      this.#isClosing || this.pipelinedRequests.isLast(request, response);
     const writer = new AnswerWriter(response, requestId, this.#protocol, isClosing);
     const result = await this.#runCall(request, requestId, scope, arrivedAtMs);
     await this.#writeResult(result, writer, !request.complete);
@@ -236,7 +268,7 @@
     const configVersion = this.options.snapshots.current()?.configVersion ?? 0;
     const call: RoutedRequest = {
       ...{ requestId, match, account, method, path, headers, body, configVersion, deadlineAtMs },
-      answerDueAtMs: this.#answerDueAtMs(request, match, arrivedAtMs),
+      answerDueAtMs: this.#answerDueTimes.of(request, match, arrivedAtMs),
     };
     this.counters.callsStarted += 1;
     const retryingCall = new RetryingCall(
@@ -252,24 +284,6 @@
     return result;
   }
 
-  /**
-   * Time at which the answer is due, counted from the caller's first attempt; undefined if the service
-   * does not schedule calls by it.
-   */
-  #answerDueAtMs(
-    request: IncomingMessage,
-    { route, service }: RouteMatch,
-    arrivedAtMs: number,
-  ): number | undefined {
-    if (service.capacityMode !== CapacityMode.Learned || route.targetLatencyMs === undefined)
-      return undefined;
-    const dueAtMs = arrivedAtMs + route.targetLatencyMs;
-    const callerDeadlineMs = readCallerDeadlineMs(request, this.#protocol);
-    if (callerDeadlineMs === undefined) return dueAtMs;
-    this.#callerDeadlines.record(route.name, callerDeadlineMs);
-    return dueAtMs - this.#callerDeadlines.waitedMs(route.name, callerDeadlineMs);
-  }
-
   #reportEnd(
     call: RoutedRequest,
     retryingCall: RetryingCall,
--- a/packages/calls/src/inbound-request.ts
+++ b/packages/calls/src/inbound-request.ts
@@ -7,7 +7,7 @@
 /** Returns the time that the caller states to wait, or undefined if it states no number. */
 export const readCallerDeadlineMs = (
   request: IncomingMessage,
-  protocol: CallProtocol,
+  protocol: Pick<CallProtocol, 'deadlineHeader'>,
 ): number | undefined => {
   const header = request.headers[protocol.deadlineHeader];
   if (typeof header !== 'string' || header.trim() === '') return undefined;
