Add leases to the client and the stand-in of the store

Cause: a duty with one holder needs a record that disappears with its holder, and the store's client knew no leases and no deletes.

Change: StoreClient grants and renews leases and commits transactions whose writes may belong to a lease; a status of 404 to these calls means that the lease has ended. CountedRangeStore counts these calls. The stand-in store has leases, in a table of its own. MemoryLeaseStore has leases, faults, slow answers and restoring from an older copy, for tests on the paused clock.

--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -14,7 +14,7 @@
 import { createMoves, type MoveRecordCodec, type Moves } from '@sequoiafield/moves';
 import { createOrders, type Orders, type OrdersDecoder } from '@sequoiafield/orders';
 import { MeshRouter } from '@sequoiafield/routing';
-import { CountedRangeStore, type RangeStore } from '@sequoiafield/store';
+import { CountedRangeStore, type LeaseStore } from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import { createTransport, type Transport } from '@sequoiafield/transport';
 import {
@@ -46,7 +46,7 @@
 
 /** Platform-specific dependencies of a node. */
 export interface PlatformDependencies {
-  readonly store: RangeStore;
+  readonly store: LeaseStore;
   readonly decoder: OrdersDecoder;
   readonly codec: MoveRecordCodec;
   readonly protocol: CallProtocol;
--- a/packages/store/src/counted-range-store.ts
+++ b/packages/store/src/counted-range-store.ts
@@ -1,5 +1,5 @@
+import type { LeaseStore, StoreLease, StoreTransaction, TransactionResult } from './lease-store.js';
 import type {
-  RangeStore,
   ReadOptions,
   StoreChanges,
   StoreRange,
@@ -15,6 +15,8 @@
   staleReads: number;
   watches: number;
   writes: number;
+  /** Leases that were granted or renewed. */
+  leaseCalls: number;
   /** Calls of any kind that failed. */
   failures: number;
 }
@@ -27,16 +29,17 @@
  * await store.readRange('op/');
  * store.counters.reads; // 1
  */
-export class CountedRangeStore implements RangeStore {
+export class CountedRangeStore implements LeaseStore {
   readonly counters: StoreCallCounters = {
     reads: 0,
     staleReads: 0,
     watches: 0,
     writes: 0,
+    leaseCalls: 0,
     failures: 0,
   };
 
-  constructor(private readonly store: RangeStore) {}
+  constructor(private readonly store: LeaseStore) {}
 
   readRange(prefix: string, options: ReadOptions = {}): Promise<StoreRange> {
     if (options.mayBeStale) this.counters.staleReads += 1;
@@ -57,6 +60,21 @@
     return this.#countFailure(this.store.writeIf(conditions, writes));
   }
 
+  grantLease(ttlMs: number): Promise<StoreLease> {
+    this.counters.leaseCalls += 1;
+    return this.#countFailure(this.store.grantLease(ttlMs));
+  }
+
+  renewLease(leaseId: number): Promise<StoreLease | undefined> {
+    this.counters.leaseCalls += 1;
+    return this.#countFailure(this.store.renewLease(leaseId));
+  }
+
+  commit(transaction: StoreTransaction): Promise<TransactionResult> {
+    this.counters.writes += 1;
+    return this.#countFailure(this.store.commit(transaction));
+  }
+
   async #countFailure<Result>(call: Promise<Result>): Promise<Result> {
     try {
       return await call;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -43,6 +43,8 @@
   type WriteResult,
 } from './range-store.js';
 export { CountedRangeStore, type StoreCallCounters } from './counted-range-store.js';
+export { MemoryLeaseStore, type LeaseStoreCall } from './memory-lease-store.js';
+export { eraOfRevision, revisionsPerEra } from './store-era.js';
 export type {
   LeasedWrite,
   LeaseStore,
