--- a/packages/store/src/memory-lease-store.ts
+++ b/packages/store/src/memory-lease-store.ts
@@ -51,7 +51,7 @@
 export class MemoryLeaseStore implements LeaseStore {
   decideFault: (call: LeaseStoreCall) => StoreFault | undefined = () => undefined;
 
-  /** Delay of each answer. */
+  /** Delay of each answer; a call takes effect after half of it. */
   answerDelayMs = 0;
 
   readonly calls = { read: 0, watch: 0, grant: 0, renew: 0, commit: 0 };
@@ -141,12 +141,16 @@
   async #run<Result>(call: LeaseStoreCall, execute: () => Result): Promise<Result> {
     this.calls[call.operation] += 1;
     const fault = this.decideFault(call);
-    if (this.answerDelayMs > 0) await pause(this.answerDelayMs);
+    await this.#delayHalf();
     this.#expire();
     const isWrite = call.operation !== 'read' && call.operation !== 'watch';
     if (fault === StoreFault.NotWritten || (fault && !isWrite))
       throw new StoreNotWrittenError(`${call.operation}: ${fault}`);
-    if (!fault) return execute();
+    if (!fault) {
+      const result = execute();
+      await this.#delayHalf();
+      return result;
+    }
     if (fault === StoreFault.AnswerLost) execute();
     if (fault === StoreFault.WrittenLate) {
       setTimeout(() => {
@@ -157,6 +161,10 @@
     throw new StoreOutcomeUnknownError(`${call.operation}: ${fault}`);
   }
 
+  async #delayHalf(): Promise<void> {
+    if (this.answerDelayMs > 0) await pause(this.answerDelayMs / 2);
+  }
+
   #apply({ conditions, writes = [], deletedKeys = [] }: StoreTransaction): TransactionResult {
     const isMet = ({ key, revision }: WriteCondition): boolean =>
       (this.#items.get(key)?.revision ?? 0) === revision;
