--- a/packages/duties/src/single-holder-duty.ts
+++ b/packages/duties/src/single-holder-duty.ts
@@ -1,5 +1,10 @@
 import { logEvents, type Logger } from '@sequoiafield/logger';
-import { StoreOutcomeUnknownError, type LeaseStore, type StoreItem } from '@sequoiafield/store';
+import {
+  StoreOutcomeUnknownError,
+  type LeaseStore,
+  type StoreItem,
+  type WriteCondition,
+} from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import { takesNewWork, type MemberView } from '@sequoiafield/types';
 import { CandidateSelector } from './candidate-selector.js';
@@ -39,6 +44,8 @@
 export interface DutyHolding {
   /** Fencing token: the revision of the record, greater for each later holding. */
   readonly token: number;
+  /** Condition of a write that takes effect only while the store has this holder's record. */
+  readonly condition: WriteCondition;
   /** Whether the duty is held for `durationMs` more; a call starts only if its whole timeout fits. */
   isHeldFor(durationMs: number): boolean;
 }
@@ -129,6 +136,7 @@
     return (
       holding && {
         token: holding.token,
+        condition: { key: this.options.key, revision: holding.token },
         isHeldFor: (durationMs) =>
           holding === this.#holding && holding.clock.isValidFor(durationMs),
       }
--- a/packages/types/src/enums.ts
+++ b/packages/types/src/enums.ts
@@ -94,6 +94,12 @@
   FleetQuery = 5,
   MinimumVersion = 6,
   Orders = 7,
+  /** Counts of requests that a node sends to a collector of its data centre. */
+  UsageCounts = 8,
+  /** Sum of the counts that a collector holds. */
+  UsageSum = 9,
+  /** Sum of the counts of a data centre. */
+  UsageDataCentreSum = 10,
 }
 
 /**
