Report usage where a deployment has a receiver for it

Cause: counting and reporting were not connected to calls, settings and the platform.

Change: the receiver of calls counts a request of an account right before its first byte is written, in an optional dependency, and takes it back if the server did not run it. The section [usage] of the settings is optional; an empty value turns the part off, without a call to the store or a message. The node has metrics for them.

--- a/packages/calls/src/backend-client.ts
+++ b/packages/calls/src/backend-client.ts
@@ -32,7 +32,8 @@
 export interface BackendClient {
   /**
    * Sends one request and aborts it after `remainingMs`; `onEnd` is called once, when the
-   * connection no longer carries any part of it.
+   * connection no longer carries any part of it, and `onWritten` right before the request is first
+   * written.
    */
   send(
     open: CallOpen,
@@ -40,6 +41,7 @@
     body: AsyncIterable<Uint8Array>,
     signal: CancelSignal,
     onEnd: (outcome: BackendRequestOutcome) => void,
+    onWritten?: () => void,
   ): Promise<BackendResult>;
   close(): Promise<void>;
 }
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -53,6 +53,8 @@
 
   #onReleased: () => void = () => undefined;
 
+  #onWritten: () => void = () => undefined;
+
   #writtenAtMs = 0;
 
   /** Keep-alive time that the head of the answer advertised. */
@@ -94,6 +96,11 @@
     this.#onEnd = onEnd;
   }
 
+  /** Sets the function to call once, right before the request is first written. */
+  onceWritten(onWritten: () => void): void {
+    this.#onWritten = onWritten;
+  }
+
   /** Sets the function to call after that of `onceEnded`, when the connection may be reused. */
   onceReleased(onReleased: () => void): void {
     this.#onReleased = onReleased;
@@ -149,6 +156,7 @@
     } else if (this.#wasWritten && !this.open.isIdempotent) {
       controller.abort(new CallError('A non-idempotent request is never written twice'));
     } else {
+      if (!this.#wasWritten) this.#onWritten();
       this.#wasWritten = true;
       this.#writtenAtMs = monotonicNowMs();
     }
--- a/packages/calls/src/call-receiver.ts
+++ b/packages/calls/src/call-receiver.ts
@@ -18,6 +18,15 @@
 import { createNotRunRefusal, toRefusalResult, createUnknownOutcomeRefusal } from './refusals.js';
 import { RunningCalls } from './running-calls.js';
 
+/** Counts the requests of client accounts that the backend server runs. */
+export interface UsageRecorder {
+  /**
+   * Counts a request that is about to be written. Returns the function to call if the backend server says
+   * that it did not run it.
+   */
+  record(account: string): () => void;
+}
+
 /** Dependencies and options of a `BackendCallReceiver`. */
 export interface CallReceiverOptions {
   /** This node; service and version are read for each call, since they are announced late. */
@@ -27,6 +36,8 @@
   readonly evidence: EvidenceRecorder;
   readonly backend: BackendClient;
   readonly counters?: CallCounters;
+  /** Unset if usage is not reported. */
+  readonly usage?: UsageRecorder;
   /** Called with the reason of each backend refusal: no connection, another server, or overload. */
   readonly onBackendRefusal?: (reason: RefusalReason) => void;
 }
@@ -126,11 +137,17 @@
       return this.#refuse(refusal);
     }
     this.counters.backendRequests += 1;
+    let undoUsage: (() => void) | undefined;
+    const onWritten = (): void => {
+      if (open.account !== undefined) undoUsage = this.options.usage?.record(open.account);
+    };
     const onEnd = (outcome: BackendRequestOutcome): void => {
+      if (!outcome.hasRun) undoUsage?.();
       this.#recordEnd(open, outcome, startedAtMs, permit, signal.aborted);
       finish();
     };
-    const result = await this.options.backend.send(open, remainingMs, body, signal, onEnd);
+    const { backend } = this.options;
+    const result = await backend.send(open, remainingMs, body, signal, onEnd, onWritten);
     if (result.kind === 'refusal') {
       this.options.onBackendRefusal?.(result.refusal.reason);
       const isPastDeadline = open.deadlineAtMs <= monotonicNowMs();
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -7,7 +7,11 @@
 export { type FailureClassifier, WrittenFailureClassifier } from './failure-classifier.js';
 export { CallProxy, createCallProxy } from './call-proxy.js';
 export type { CallProxyOptions } from './call-proxy-options.js';
-export { BackendCallReceiver, type CallReceiverOptions } from './call-receiver.js';
+export {
+  BackendCallReceiver,
+  type CallReceiverOptions,
+  type UsageRecorder,
+} from './call-receiver.js';
 export type { CallSummary } from './call-summary.js';
 export { CallCounters } from './call-counters.js';
 export {
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -123,6 +123,7 @@
     body: AsyncIterable<Uint8Array>,
     signal: CancelSignal,
     onEnd: (outcome: BackendRequestOutcome) => void,
+    onWritten?: () => void,
   ): Promise<BackendResult> {
     const {
       completesCancelledNonIdempotent = false,
@@ -134,6 +135,7 @@
       protocol: this.#protocol,
       bufferedAnswerMaxBytes,
     });
+    if (onWritten) exchange.onceWritten(onWritten);
     const onAbort = (): void => {
       const mustFinish =
         completesCancelledNonIdempotent && !open.isIdempotent && exchange.writtenAtMs > 0;
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -14,6 +14,7 @@
 import { createMoves, type MoveRecordCodec, type Moves } from '@sequoiafield/moves';
 import { createOrders, type Orders, type OrdersDecoder } from '@sequoiafield/orders';
 import { MeshRouter } from '@sequoiafield/routing';
+import type { Usage, UsageSink } from '@sequoiafield/usage';
 import { CountedRangeStore, type LeaseStore } from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import { createTransport, type Transport } from '@sequoiafield/transport';
@@ -24,6 +25,8 @@
   type MemberAnnouncement,
 } from '@sequoiafield/types';
 import { CallLog } from './call-log.js';
+import { createMemberAnnouncement } from './member-announcement.js';
+import { createNodeUsage } from './node-usage.js';
 import { SeedRegistrar } from './seed-registrar.js';
 import { HeartbeatMonitor } from './heartbeat-monitor.js';
 import type { MeshNodeSettings } from './settings.js';
@@ -52,6 +55,8 @@
   readonly protocol: CallProtocol;
   readonly ordersPrefix: string;
   readonly moveRecordsPrefix: string;
+  /** Needed if the settings have usage reporting. */
+  readonly usageSink?: UsageSink;
 }
 
 /** Options of `createMeshNodeComponents`. */
@@ -76,6 +81,8 @@
   readonly receiver: BackendCallReceiver;
   readonly calls: CallProxy;
   readonly heartbeatMonitor: HeartbeatMonitor;
+  /** Undefined if usage is not reported. */
+  readonly usage: Usage | undefined;
   /** In the order in which the tick loop runs them. */
   readonly systems: readonly System[];
   /** Whether the configuration is known and a peer or the store has answered recently. */
@@ -91,22 +98,6 @@
   isServing?: () => boolean;
 }
 
-const createMemberAnnouncement = ({
-  settings,
-  incarnation,
-}: MeshNodeComponentsOptions): MemberAnnouncement => ({
-  id: settings.id,
-  incarnation,
-  address: settings.address,
-  gossipPort: settings.peerPort,
-  linkPort: settings.peerPort,
-  callPort: settings.ingress.port,
-  region: settings.region,
-  dataCentre: settings.dataCentre,
-  service: '',
-  backendVersion: '',
-});
-
 const createNodeTransport = (
   { random, logger }: MeshNodeComponentsOptions,
   self: MemberAnnouncement,
@@ -179,6 +170,7 @@
   moves: Moves,
   serverTracker: LocalServerTracker,
   gate: ServerGate,
+  usage: Usage | undefined,
 ): BackendCallReceiver => {
   const { address, port } = settings.backendServer;
   const portChecker = new PortChecker({ address, port }, () => gate.recordServerEnded());
@@ -195,6 +187,7 @@
     rollout: moves.view,
     admission: gate,
     evidence: moves.recorder,
+    usage: usage?.counter,
     onBackendRefusal: (reason) => {
       if (reason === RefusalReason.ConnectFailed) gate.recordConnectFailed();
     },
@@ -241,7 +234,7 @@
   const options = { ...givenOptions, platform: { ...givenOptions.platform, store } };
   const { settings, platform, random, logger } = options;
   const late: LateComponents = {};
-  const self = createMemberAnnouncement(options);
+  const self = createMemberAnnouncement(settings, options.incarnation);
   const serverTracker = new LocalServerTracker({
     endpoint: `${settings.backendServer.address}:${settings.backendServer.port}`,
     service: settings.service,
@@ -265,7 +258,9 @@
     orders: orders.view,
   });
   const moves = createNodeMoves(options, membership, orders, serverTracker, gate);
-  const receiver = createNodeReceiver(options, moves, serverTracker, gate);
+  const links = transport.requester;
+  const usage = createNodeUsage({ ...options, ...platform, links, members: membership.view });
+  const receiver = createNodeReceiver(options, moves, serverTracker, gate, usage);
   late.receiver = receiver;
   const router = new MeshRouter({
     selfId: settings.id,
@@ -319,6 +314,7 @@
       gate,
       heartbeatMonitor,
       ...moves.systems,
+      ...(usage?.systems ?? []),
     ],
     ...[router, ...transport.systems, ...calls.systems, callLog],
   ];
@@ -334,6 +330,7 @@
       receiver,
       calls,
       heartbeatMonitor,
+      usage,
       systems,
     },
     ...availability,
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -14,6 +14,7 @@
   type PlatformDependencies,
 } from './mesh-node-components.js';
 import type { MetricSource } from './metrics.js';
+import { usageMetrics } from './node-usage.js';
 import type { MeshNodeSettings } from './settings.js';
 
 /**
@@ -102,7 +103,7 @@
   }
 
   metricSources(): readonly MetricSource[] {
-    const { calls, gate, membership, orders, moves, store, transport } = this.#components;
+    const { calls, gate, membership, orders, moves, store, transport, usage } = this.#components;
     const { counters } = calls;
     const source = (name: string, help: string, read: () => number): MetricSource => ({
       name: `sequoiafield_${name}`,
@@ -150,6 +151,11 @@
       ),
       source('store_watches_total', 'Watch calls to the store', () => store.counters.watches),
       source('store_writes_total', 'Writes to the store', () => store.counters.writes),
+      source(
+        'store_lease_calls_total',
+        'Leases granted or renewed',
+        () => store.counters.leaseCalls,
+      ),
       source('store_failures_total', 'Failed calls to the store', () => store.counters.failures),
       source(
         'gossip_sent_bytes_total',
@@ -193,6 +199,7 @@
         () =>
           moves.view.statuses().filter(({ verdict }) => verdict === MoveVerdict.Undecided).length,
       ),
+      ...(usage ? usageMetrics(usage, source) : []),
     ];
   }
 
--- /dev/null
+++ b/packages/mesh-node/src/read-settings.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { NodeError } from '@sequoiafield/errors';
+import { readMeshNodeSettings } from './read-settings.js';
+
+const templateFile = new URL('../../../deploy/settings.ini', import.meta.url);
+
+/** Renders the template as the platform does; a field that a deployment lacks becomes an empty text. */
+const render = (fields: Readonly<Record<string, string>>): string =>
+  readFileSync(templateFile, 'utf8').replace(/\{\{(.+?)\}\}/g, (_, name: string) => {
+    if (name in fields) return fields[name]!;
+    if (/^(cloud|bounds\.(report_window_s|usage_late_s|lease_s))/.test(name)) return '';
+    return /address|listen|app_addr/.test(name) ? '10.1.0.7:8100' : '9';
+  });
+
+const usageFields = {
+  'cloud.address': '10.1.0.9:8640',
+  'bounds.report_window_s': '5',
+  'bounds.usage_late_s': '10',
+  'bounds.lease_s': '3',
+};
+
+test('usage is reported only if the deployment has every value for it', () => {
+  // Guards against a node that does not start where a deployment has no usage reports, and against store
+  // calls there.
+  assert.deepEqual(readMeshNodeSettings(render(usageFields)).usage, {
+    endpoint: { address: '10.1.0.9', port: 8640 },
+    ...{ windowMs: 5000, lateMs: 10_000, leaseMs: 3000 },
+  });
+  for (const field of Object.keys(usageFields)) {
+    const settings = readMeshNodeSettings(render({ ...usageFields, [field]: '' }));
+    assert.equal(settings.usage, undefined, field);
+  }
+  assert.equal(readMeshNodeSettings(render({}).replace(/\[usage\][^]*/, '')).usage, undefined);
+  assert.throws(
+    () => readMeshNodeSettings(render({ ...usageFields, 'bounds.lease_s': '0' })),
+    NodeError,
+  );
+});
--- a/packages/mesh-node/src/read-settings.ts
+++ b/packages/mesh-node/src/read-settings.ts
@@ -1,6 +1,6 @@
 import { parse } from 'ini';
 import { NodeError } from '@sequoiafield/errors';
-import type { Endpoint, MeshNodeSettings } from './settings.js';
+import type { Endpoint, MeshNodeSettings, UsageSettings } from './settings.js';
 
 /** Values of the settings file by section and key. */
 type Sections = Readonly<Record<string, Readonly<Record<string, unknown>> | undefined>>;
@@ -15,6 +15,11 @@
 
   constructor(private readonly sections: Sections) {}
 
+  /** Whether a section has a value for each of these keys. */
+  hasAll(section: string, keys: readonly string[]): boolean {
+    return keys.every((key) => (this.sections[section]?.[key] ?? '') !== '');
+  }
+
   text(section: string, key: string): string {
     const value = this.sections[section]?.[key];
     if (typeof value === 'string' && value !== '') return value;
@@ -31,6 +36,13 @@
     return value;
   }
 
+  /** Reads a time of more than 0 in seconds and returns it in ms. */
+  duration(section: string, key: string): number {
+    const value = this.number(section, key);
+    if (value === 0) this.problems.push(`${key} of [${section}] must be more than 0`);
+    return value * msPerS;
+  }
+
   port(section: string, key: string): number {
     const value = this.number(section, key);
     if (!Number.isInteger(value) || value < 1 || value > portMax) {
@@ -51,6 +63,18 @@
   }
 }
 
+/** Reads the settings of usage reporting, which a deployment without reports leaves empty. */
+const readUsageSettings = (values: ValueReader): UsageSettings | undefined => {
+  const section = 'usage';
+  if (!values.hasAll(section, ['endpoint', 'window_s', 'late_s', 'lease_s'])) return undefined;
+  return {
+    endpoint: values.endpoint(section),
+    windowMs: values.duration(section, 'window_s'),
+    lateMs: values.duration(section, 'late_s'),
+    leaseMs: values.duration(section, 'lease_s'),
+  };
+};
+
 /**
  * Reads the settings of a node from the text of its file.
  *
@@ -80,6 +104,7 @@
       windowMs: values.number('retries', 'window_s') * msPerS,
     },
     graceMs: values.number('stop', 'grace_s') * msPerS,
+    usage: readUsageSettings(values),
   };
   if (values.problems.length > 0) {
     throw new NodeError(`The settings cannot be used: ${values.problems.join('; ')}`);
--- a/packages/mesh-node/src/settings.ts
+++ b/packages/mesh-node/src/settings.ts
@@ -6,6 +6,17 @@
   readonly port: number;
 }
 
+/** Settings of usage reporting. */
+export interface UsageSettings {
+  /** Receives the reports. */
+  readonly endpoint: Endpoint;
+  readonly windowMs: number;
+  /** Time after the end of a window within which its report is due. */
+  readonly lateMs: number;
+  /** Lease of the node that reports. */
+  readonly leaseMs: number;
+}
+
 /** Settings of a node of the mesh. */
 export interface MeshNodeSettings {
   readonly id: string;
@@ -29,4 +40,6 @@
   readonly retryLimit: RetryLimit;
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMs: number;
+  /** Undefined if the section is left out or a value of it is empty; usage is not reported then. */
+  readonly usage?: UsageSettings | undefined;
 }
