--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -14,7 +14,8 @@
 import { createMoves, type MoveRecordCodec, type Moves } from '@sequoiafield/moves';
 import { createOrders, type Orders, type OrdersDecoder } from '@sequoiafield/orders';
 import { MeshRouter } from '@sequoiafield/routing';
-import { CountedRangeStore, type RangeStore } from '@sequoiafield/store';
+import type { Usage, UsageSink } from '@sequoiafield/usage';
+import { CountedRangeStore, type LeaseStore } from '@sequoiafield/store';
 import { monotonicNowMs, type RandomSource, type System } from '@sequoiafield/tables';
 import { createTransport, type Transport } from '@sequoiafield/transport';
 import {
@@ -25,6 +26,8 @@
 } from '@sequoiafield/types';
 import { CallLog } from './call-log.js';
 import { createKeyCheck, type NodeKeyCheck } from './create-key-check.js';
+import { createMemberAnnouncement } from './member-announcement.js';
+import { createNodeUsage } from './node-usage.js';
 import { SeedRegistrar } from './seed-registrar.js';
 import { HeartbeatMonitor } from './heartbeat-monitor.js';
 import type { MeshNodeSettings } from './settings.js';
@@ -47,12 +50,14 @@
 
 /** Platform-specific dependencies of a node. */
 export interface PlatformDependencies {
-  readonly store: RangeStore;
+  readonly store: LeaseStore;
   readonly decoder: OrdersDecoder;
   readonly codec: MoveRecordCodec;
   readonly protocol: CallProtocol;
   readonly ordersPrefix: string;
   readonly moveRecordsPrefix: string;
+  /** Needed if the settings have usage reporting. */
+  readonly usageSink?: UsageSink;
 }
 
 /** Options of `createMeshNodeComponents`. */
@@ -78,6 +83,8 @@
   readonly calls: CallProxy;
   readonly heartbeatMonitor: HeartbeatMonitor;
   readonly refusedKeys: NodeKeyCheck['refusedKeys'];
+  /** Undefined if usage is not reported. */
+  readonly usage: Usage | undefined;
   /** In the order in which the tick loop runs them. */
   readonly systems: readonly System[];
   /** Whether the configuration is known and a peer or the store has answered recently. */
@@ -93,22 +100,6 @@
   isServing?: () => boolean;
 }
 
-const createMemberAnnouncement = ({
-  settings,
-  incarnation,
-}: MeshNodeComponentsOptions): MemberAnnouncement => ({
-  id: settings.id,
-  incarnation,
-  address: settings.address,
-  gossipPort: settings.peerPort,
-  linkPort: settings.peerPort,
-  callPort: settings.ingress.port,
-  region: settings.region,
-  dataCentre: settings.dataCentre,
-  service: '',
-  backendVersion: '',
-});
-
 const createNodeTransport = (
   { random, logger }: MeshNodeComponentsOptions,
   self: MemberAnnouncement,
@@ -181,6 +172,7 @@
   moves: Moves,
   serverTracker: LocalServerTracker,
   gate: ServerGate,
+  usage: Usage | undefined,
 ): BackendCallReceiver => {
   const { address, port } = settings.backendServer;
   const portChecker = new PortChecker({ address, port }, () => gate.recordServerEnded());
@@ -197,6 +189,7 @@
     rollout: moves.view,
     admission: gate,
     evidence: moves.recorder,
+    usage: usage?.counter,
     onBackendRefusal: (reason) => {
       if (reason === RefusalReason.ConnectFailed) gate.recordConnectFailed();
     },
@@ -243,7 +236,7 @@
   const options = { ...givenOptions, platform: { ...givenOptions.platform, store } };
   const { settings, platform, random, logger } = options;
   const late: LateComponents = {};
-  const self = createMemberAnnouncement(options);
+  const self = createMemberAnnouncement(settings, options.incarnation);
   const serverTracker = new LocalServerTracker({
     endpoint: `${settings.backendServer.address}:${settings.backendServer.port}`,
     service: settings.service,
@@ -267,7 +260,9 @@
     orders: orders.view,
   });
   const moves = createNodeMoves(options, membership, orders, serverTracker, gate);
-  const receiver = createNodeReceiver(options, moves, serverTracker, gate);
+  const links = transport.requester;
+  const usage = createNodeUsage({ ...options, ...platform, links, members: membership.view });
+  const receiver = createNodeReceiver(options, moves, serverTracker, gate, usage);
   late.receiver = receiver;
   const router = new MeshRouter({
     selfId: settings.id,
@@ -324,6 +319,7 @@
       gate,
       heartbeatMonitor,
       ...moves.systems,
+      ...(usage?.systems ?? []),
     ],
     ...[router, ...transport.systems, ...calls.systems, callLog, refusedKeys],
   ];
@@ -340,6 +336,7 @@
       calls,
       heartbeatMonitor,
       refusedKeys,
+      usage,
       systems,
     },
     ...availability,
