Bound the memory for bodies, and admit large bodies once they are there

Cause, from reading the code: bodies above 64 KB were streamed, so that a refused upload could not go to another member and its slot was held while a slow caller sent it; an answer above 256 KB held its slot while its caller read it; and nothing bounded the bytes of all bodies of a node, or those at its own server.

Change: BodyMemoryBudget counts bytes, lets readers wait in turn, and refuses; createBodyMemory derives its bounds from the optional setting memory_mb of [limits], with fixed defaults. On routes with large bodies, a body up to 512 KB is read once there is memory for all of it, is held whole and can be sent to another member. The node beside the server asks its gate first, receives a body of more than 64 KB whole and admits it then; bodies at the server count against a bound of their own. Unread parts of answers are held within the memory, so that the slot is free when the server has finished. Refused bodies are read and discarded for up to 1 s, so that the refusal can be read. Bodies up to 64 KB take the path of before. Whether a pipelined request may run twice is asked without drawing a destination, which would shift the weights of a split.

--- a/packages/calls/src/answer-writer.ts
+++ b/packages/calls/src/answer-writer.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
-import { BodyChannel, isAnswerStatus } from '@sequoiafield/transport';
+import { BodyChannel, isAnswerStatus, type BodyMemoryBudget } from '@sequoiafield/transport';
 import { RefusalReason, type CallAnswer, type CallRefusal } from '@sequoiafield/types';
+import { replayableBodyMaxBytes } from './body-memory.js';
 import type { CallProtocol } from './call-protocol.js';
 import { bodilessStatuses } from './headers.js';
 import { createUnknownOutcomeRefusal } from './refusals.js';
@@ -13,6 +14,8 @@
     private readonly protocol: CallProtocol,
     /** Whether the caller must not reuse its connection to this node. */
     private readonly isClosing: () => boolean = () => false,
+    /** Counts large answers until their caller has read them. */
+    private readonly budget?: BodyMemoryBudget,
   ) {
     // A write to a connection that the caller has just closed emits an error; unhandled, it would
     // end the process.
@@ -42,6 +45,7 @@
       // With a length, the answer needs no chunked coding.
       if (this.#needsLength(answer)) headers.push('content-length', String(wholeBody.byteLength));
       response.writeHead(answer.status, headers);
+      this.#countUntilRead(wholeBody.byteLength);
       response.end(wholeBody);
       return true;
     }
@@ -86,6 +90,12 @@
     this.response.shouldKeepAlive = false;
   }
 
+  #countUntilRead(bytes: number): void {
+    if (!this.budget || bytes <= replayableBodyMaxBytes) return;
+    this.budget.add(bytes);
+    this.response.once('close', () => this.budget?.release(bytes));
+  }
+
   #needsLength(answer: CallAnswer): boolean {
     if (this.response.req.method === 'HEAD' || bodilessStatuses.has(answer.status)) return false;
     return !answer.headers.some(([name]) => name === 'content-length');
--- a/packages/calls/src/arrival-check.ts
+++ b/packages/calls/src/arrival-check.ts
@@ -41,6 +41,12 @@
     return undefined;
   }
 
+  /** Whether a body of a size that is accepted has not been read to its end. */
+  isBodyUnread(request: IncomingMessage): boolean {
+    const lengthBytes = Number(request.headers['content-length'] ?? 0);
+    return !request.complete && lengthBytes <= this.bodyMaxBytes;
+  }
+
   /**
    * Refuses a request without a route. Callers do not repeat one whose route is missing, so that a node
    * that is behind asks them to come back instead.
--- a/packages/calls/src/backend-exchange.ts
+++ b/packages/calls/src/backend-exchange.ts
@@ -4,6 +4,7 @@
 import { bodyMaxBytes, RefusalReason, type CallOpen, type CallRefusal } from '@sequoiafield/types';
 import type { Dispatcher } from 'undici';
 import type { BackendRequestOutcome, BackendResult } from './backend-client.js';
+import type { BodyMemory } from './body-memory.js';
 import { AnswerKind, type CallProtocol, type HeaderPair } from './call-protocol.js';
 import { bodilessStatuses, forwardHeaders, pairHeaders, readKeepAliveMs } from './headers.js';
 import type { FailureClassifier } from './failure-classifier.js';
@@ -26,6 +27,8 @@
   readonly protocol: CallProtocol;
   /** Answers up to this size are read completely before they are returned. */
   readonly bufferedAnswerMaxBytes: number;
+  /** Memory for the part of an answer that its reader has not taken; left out for a fixed bound. */
+  readonly bodyMemory?: BodyMemory;
 }
 
 /** Handles one request on a connection to the backend server, as a dispatch handler of `undici`. */
@@ -40,6 +43,9 @@
 
   #bufferedBytes = 0;
 
+  /** Bytes of them that were taken from the memory for bodies. */
+  #heldBytes = 0;
+
   /** Bytes of the body so far; a server in trouble may send bytes without end. */
   #receivedBytes = 0;
 
@@ -207,7 +213,9 @@
       if (this.#isDelimited) this.#resolveAnswer();
       else controller.abort(new CallError('The answer without a length is too large'));
     }
-    if (this.#bufferedBytes > bufferMaxBytes) controller.pause();
+    if (this.#bufferedBytes > bufferMaxBytes && !this.#holdMore(chunk.byteLength)) {
+      controller.pause();
+    }
   }
 
   onResponseEnd(controller: Dispatcher.DispatchController): void {
@@ -243,6 +251,11 @@
 
   onConsumed(bytes: number): void {
     this.#bufferedBytes -= bytes;
+    const releasedBytes = Math.min(bytes, this.#heldBytes);
+    if (releasedBytes > 0) {
+      this.#heldBytes -= releasedBytes;
+      this.options.bodyMemory?.node.release(releasedBytes);
+    }
     if (this.#bufferedBytes <= bufferMaxBytes / 2) this.#controller?.resume();
   }
 
@@ -250,6 +263,15 @@
     this.abort(RefusalReason.Cancelled);
   }
 
+  /** Takes memory for more of an answer, so that a slow reader does not keep the slot of its call. */
+  #holdMore(bytes: number): boolean {
+    const { bodyMemory } = this.options;
+    if (!bodyMemory || this.#heldBytes + bytes > bodyMemory.answerMaxBytes) return false;
+    if (!bodyMemory.node.tryTake(bytes)) return false;
+    this.#heldBytes += bytes;
+    return true;
+  }
+
   #resolveAnswer(): void {
     if (!this.#body) return;
     this.#isAnswerResolved = true;
--- a/packages/calls/src/call-proxy-options.ts
+++ b/packages/calls/src/call-proxy-options.ts
@@ -10,6 +10,7 @@
   Router,
   SnapshotView,
 } from '@sequoiafield/types';
+import type { BodyMemory } from './body-memory.js';
 import type { CallSummary } from './call-summary.js';
 import type { CallProtocol } from './call-protocol.js';
 import type { BackendCallReceiver } from './call-receiver.js';
@@ -42,6 +43,8 @@
   readonly protocol?: CallProtocol;
   /** Limits of callers' connections; built-in defaults apply while it returns undefined. */
   readonly clientLimits?: () => ClientLimits | undefined;
+  /** Memory for bodies; a fixed one by default. */
+  readonly bodyMemory?: BodyMemory;
   /** Service of the machine at which calls start; empty if unknown. */
   readonly callerService?: () => string;
   /** Called with the summary of each call that ended. */
--- a/packages/calls/src/call-proxy.ts
+++ b/packages/calls/src/call-proxy.ts
@@ -17,15 +17,16 @@
 import { RetryingCall, type RoutedRequest } from './retrying-call.js';
 import { CallScope } from './call-scope.js';
 import type { CallCounters } from './call-counters.js';
+import { summarizeCall } from './call-summary.js';
 import { DefaultCallProtocol, type CallProtocol } from './call-protocol.js';
-import { refuseMalformedRequest } from './client-errors.js';
 import { closeWhenQuiet } from './close-when-quiet.js';
-import { forwardHeaders } from './headers.js';
-import { pathOf, readDeadlineMs, readRequestId } from './inbound-request.js';
+import { createBodyMemory, type BodyMemory } from './body-memory.js';
+import { addLength, forwardHeaders } from './headers.js';
+import { mayRunTwice, pathOf, readDeadlineMs, readRequestId } from './inbound-request.js';
+import { discardBody, InboundBodies } from './inbound-bodies.js';
 import { LateRequestGuard } from './late-request-guard.js';
 import { PipelinedRequests } from './pipelined-requests.js';
-import { createNotRunRefusal, toRefusalResult, httpStatusOf } from './refusals.js';
-import { RequestBodyReader, type RequestBody } from './request-body.js';
+import { createNotRunRefusal, toRefusalResult } from './refusals.js';
 import { SafeRetryPolicy, type RetryPolicy } from './retry-policy.js';
 import { RunningCalls } from './running-calls.js';
 
@@ -55,6 +56,10 @@
 
   readonly #protocol: CallProtocol;
 
+  readonly #bodyMemory: BodyMemory;
+
+  readonly #inboundBodies: InboundBodies;
+
   #isDraining = false;
 
   #isClosing = false;
@@ -69,6 +74,8 @@
   constructor(private readonly options: CallProxyOptions) {
     this.counters = options.receiver.counters;
     this.#retryPolicy = options.retryPolicy ?? new SafeRetryPolicy();
+    this.#bodyMemory = options.bodyMemory ?? createBodyMemory();
+    this.#inboundBodies = new InboundBodies(this.#bodyMemory, options.random);
     this.#protocol = options.protocol ?? new DefaultCallProtocol();
     this.#server = fastify({
       logger: false,
@@ -76,12 +83,8 @@
       forceCloseConnections: 'idle',
       return503OnClosing: false,
       exposeHeadRoutes: false,
-      clientErrorHandler: (error, socket) => {
-        // The bytes behind unanswered requests get no answer, which would be taken for theirs.
-        if (!this.pipelinedRequests.endAfterPending(socket)) {
-          refuseMalformedRequest(error, socket);
-        }
-      },
+      clientErrorHandler: (error, socket) =>
+        this.pipelinedRequests.onMalformedRequest(error, socket),
       frameworkErrors: (_error, request, reply) => {
         reply.hijack();
         this.#accept(request.raw, reply.raw);
@@ -186,7 +189,7 @@
     this.pipelinedRequests.accept({
       request,
       response,
-      isIdempotent: () => this.#isIdempotent(request),
+      isIdempotent: () => mayRunTwice(request, this.options.router),
       start: (hasWaitedUnread) => this.#start(request, response, arrivedAtMs, hasWaitedUnread),
     });
   }
@@ -208,13 +211,6 @@
     this.#lateRequestGuard.check(request, hasWaitedUnread, start, abandon);
   }
 
-  /** Whether a request may run twice; one without a route does not run. */
-  #isIdempotent(request: IncomingMessage): boolean {
-    const { method = 'GET', url = '/', headers } = request;
-    const match = this.options.router.match(method, pathOf(url), headers.host ?? '');
-    return match?.route.isIdempotent ?? true;
-  }
-
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -225,8 +221,16 @@
     response.on('close', () => scope.end(response.writableFinished));
     const isClosing = (): boolean =>
       this.#isClosing || this.pipelinedRequests.isLast(request, response);
-    const writer = new AnswerWriter(response, requestId, this.#protocol, isClosing);
+    const writer = new AnswerWriter(
+      response,
+      requestId,
+      this.#protocol,
+      isClosing,
+      this.#bodyMemory.node,
+    );
     const result = await this.#runCall(request, requestId, scope, arrivedAtMs);
+    const isRefused = result.kind === 'refusal' && !scope.signal.aborted;
+    if (isRefused && this.#arrivalCheck.isBodyUnread(request)) await discardBody(request);
     await this.#writeResult(result, writer, !request.complete);
   }
 
@@ -248,16 +252,17 @@
     const deadlineRefusal = this.#arrivalCheck.checkDeadline(match.route, deadlineAtMs);
     if (deadlineRefusal) return toRefusalResult(deadlineRefusal);
     scope.startDeadline(deadlineAtMs);
-    let body: RequestBody;
-    try {
-      body = await new RequestBodyReader(request, this.#arrivalCheck.bodyMaxBytes).read(
-        scope.signal,
-      );
-    } catch {
-      const detail = 'the request body did not arrive in time';
-      return toRefusalResult(createNotRunRefusal(RefusalReason.DeadlinePassed, detail));
-    }
+    const held = await this.#inboundBodies.read(
+      request,
+      match.route,
+      this.#arrivalCheck.bodyMaxBytes,
+      deadlineAtMs,
+      scope.signal,
+    );
+    if (held.kind === 'refusal') return held;
+    const { body } = held;
     const headers = forwardHeaders(request.rawHeaders, this.#protocol.nodeOnlyRequestHeaders);
+    addLength(headers, body);
     const configVersion = this.options.snapshots.current()?.configVersion ?? 0;
     const call = { requestId, match, method, path, headers, body, configVersion, deadlineAtMs };
     this.counters.callsStarted += 1;
@@ -269,7 +274,7 @@
       scope.signal,
     );
     const startedAtMs = monotonicNowMs();
-    const result = await retryingCall.run();
+    const result = await retryingCall.run().finally(held.release);
     this.#reportEnd(call, retryingCall, result, monotonicNowMs() - startedAtMs);
     return result;
   }
@@ -280,18 +285,7 @@
     result: CallResult,
     tookMs: number,
   ): void {
-    const refusal = result.kind === 'refusal' ? result.refusal : undefined;
-    this.options.onEnded?.({
-      requestId: call.requestId,
-      route: call.match.route.name,
-      service: call.match.service.name,
-      status: result.kind === 'answer' ? result.answer.status : httpStatusOf(result.refusal),
-      memberIds: retryingCall.memberIds,
-      sentToServers: retryingCall.sentToServers,
-      configVersion: call.configVersion,
-      tookMs,
-      refusal,
-    });
+    this.options.onEnded?.(summarizeCall(call, retryingCall, result, tookMs));
   }
 
   #checkOnArrival(
--- a/packages/calls/src/call-receiver.ts
+++ b/packages/calls/src/call-receiver.ts
@@ -14,9 +14,11 @@
   type RolloutView,
 } from '@sequoiafield/types';
 import type { BackendClient, BackendRequestOutcome } from './backend-client.js';
+import { createBodyMemory, type BodyMemory } from './body-memory.js';
 import { CallCounters } from './call-counters.js';
 import { createNotRunRefusal, toRefusalResult, createUnknownOutcomeRefusal } from './refusals.js';
 import { RunningCalls } from './running-calls.js';
+import { ServerBodies } from './server-bodies.js';
 
 /** Dependencies and options of a `BackendCallReceiver`. */
 export interface CallReceiverOptions {
@@ -27,6 +29,8 @@
   readonly evidence: EvidenceRecorder;
   readonly backend: BackendClient;
   readonly counters?: CallCounters;
+  /** Memory for bodies; a fixed one by default. */
+  readonly bodyMemory?: BodyMemory;
   /** Called with the reason of each backend refusal: no connection, another server, or overload. */
   readonly onBackendRefusal?: (reason: RefusalReason) => void;
 }
@@ -46,7 +50,10 @@
 
   #isDraining = false;
 
+  readonly #serverBodies: ServerBodies;
+
   constructor(private readonly options: CallReceiverOptions) {
+    this.#serverBodies = new ServerBodies(options.bodyMemory ?? createBodyMemory());
     this.counters = options.counters ?? new CallCounters();
   }
 
@@ -58,6 +65,38 @@
     const refusal = this.#checkOnArrival(open);
     if (refusal) return this.#refuse(refusal);
     const finish = this.running.begin(open.requestId);
+    if (this.#serverBodies.isLarge(open)) return this.#receiveLarge(open, body, signal, finish);
+    return this.#admitAndRun(open, body, signal, finish);
+  }
+
+  /** Receives a large body before its call is admitted, so that it takes no slot while it arrives. */
+  async #receiveLarge(
+    open: CallOpen,
+    body: AsyncIterable<Uint8Array>,
+    signal: CancelSignal,
+    finish: () => void,
+  ): Promise<CallResult> {
+    const refusal = this.options.admission.refuseEarly?.(open);
+    const received = refusal
+      ? toRefusalResult(refusal)
+      : await this.#serverBodies.receive(open, body);
+    if (received.kind !== 'body') {
+      finish();
+      return received.kind === 'refusal' ? this.#refuse(received.refusal) : received;
+    }
+    const finishAll = (): void => {
+      received.release();
+      finish();
+    };
+    return this.#admitAndRun(open, received.body, signal, finishAll);
+  }
+
+  async #admitAndRun(
+    open: CallOpen,
+    body: AsyncIterable<Uint8Array>,
+    signal: CancelSignal,
+    finish: () => void,
+  ): Promise<CallResult> {
     let isPermitTaken = false;
     try {
       const admission = await this.options.admission.admit(open, open.deadlineAtMs, signal);
--- a/packages/calls/src/call-summary.ts
+++ b/packages/calls/src/call-summary.ts
@@ -1,4 +1,6 @@
-import type { CallRefusal } from '@sequoiafield/types';
+import type { CallRefusal, CallResult } from '@sequoiafield/types';
+import { httpStatusOf } from './refusals.js';
+import type { RetryingCall, RoutedRequest } from './retrying-call.js';
 
 /** Summary of a call that ended, for the log. */
 export interface CallSummary {
@@ -15,3 +17,21 @@
   readonly tookMs: number;
   readonly refusal: CallRefusal | undefined;
 }
+
+/** Creates the summary of a call that ended. */
+export const summarizeCall = (
+  call: RoutedRequest,
+  { memberIds, sentToServers }: Pick<RetryingCall, 'memberIds' | 'sentToServers'>,
+  result: CallResult,
+  tookMs: number,
+): CallSummary => ({
+  requestId: call.requestId,
+  route: call.match.route.name,
+  service: call.match.service.name,
+  status: result.kind === 'answer' ? result.answer.status : httpStatusOf(result.refusal),
+  memberIds,
+  sentToServers,
+  configVersion: call.configVersion,
+  tookMs,
+  refusal: result.kind === 'refusal' ? result.refusal : undefined,
+});
--- a/packages/calls/src/headers.ts
+++ b/packages/calls/src/headers.ts
@@ -1,3 +1,4 @@
+import { replayableBodyMaxBytes } from './body-memory.js';
 import type { HeaderPair } from './call-protocol.js';
 
 /** Statuses whose answers never have a body (RFC 9110, section 6.4.1). */
@@ -36,6 +37,16 @@
   return pairs;
 };
 
+/**
+ * Adds the length of a body that is held whole, if its caller sent none; the node beside the backend
+ * server decides by the length whether it waits for the body.
+ */
+export const addLength = (headers: HeaderPair[], body: unknown): void => {
+  if (!(body instanceof Uint8Array) || body.byteLength <= replayableBodyMaxBytes) return;
+  if (headers.some(([name]) => name === 'content-length')) return;
+  headers.push(['content-length', String(body.byteLength)]);
+};
+
 /** Converts names and values in turn to pairs, with the names in lower case. */
 export const pairHeaders = (raw: readonly string[]): HeaderPair[] => {
   const pairs: HeaderPair[] = [];
--- a/packages/calls/src/inbound-request.ts
+++ b/packages/calls/src/inbound-request.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { Router } from '@sequoiafield/types';
 import type { CallProtocol } from './call-protocol.js';
 
 /** Longest deadline that a caller may request; attempt ids are stored for the same time. */
@@ -42,3 +43,16 @@
   const queryIndex = target.indexOf('?');
   return queryIndex < 0 ? target : target.slice(0, queryIndex);
 };
+
+/**
+ * Returns whether a request may run twice; one without a route does not run.
+ *
+ * @example
+ * mayRunTwice(request, router);
+ */
+export const mayRunTwice = (request: IncomingMessage, router: Router): boolean => {
+  const { method = 'GET', url = '/', headers } = request;
+  const [path, host] = [pathOf(url), headers.host ?? ''];
+  if (router.isIdempotent) return router.isIdempotent(path, host);
+  return router.match(method, path, host)?.route.isIdempotent ?? true;
+};
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -9,6 +9,7 @@
 export type { CallProxyOptions } from './call-proxy-options.js';
 export { BackendCallReceiver, type CallReceiverOptions } from './call-receiver.js';
 export type { CallSummary } from './call-summary.js';
+export { createBodyMemory, type BodyMemory } from './body-memory.js';
 export { CallCounters } from './call-counters.js';
 export {
   AnswerKind,
--- a/packages/calls/src/pipelined-connection.ts
+++ b/packages/calls/src/pipelined-connection.ts
@@ -63,12 +63,22 @@
     return this.#isEnding && this.#pending.at(-1)?.inboundRequest.response === response;
   }
 
-  /** Reads no more requests; returns false if none is unanswered. */
+  /**
+   * Reads no more requests; returns false if none is unanswered, or if one of them is incomplete, so that
+   * its connection has failed.
+   */
   endAfterPending(): boolean {
-    this.#isEnding ||= this.#pending.length > 0;
+    const last = this.#pending.at(-1);
+    if (last && !last.inboundRequest.request.complete) return false;
+    this.#isEnding ||= last !== undefined;
     return this.#isEnding;
   }
 
+  /** Whether an answer that is not due would be taken for that to another request. */
+  get hasPending(): boolean {
+    return this.#pending.length > 0;
+  }
+
   /** Pauses reading at the bounds of what may be pending. */
   #limitPending(): void {
     const { socket } = this;
--- a/packages/calls/src/pipelined-requests.test.ts
+++ b/packages/calls/src/pipelined-requests.test.ts
@@ -145,6 +145,19 @@
   assert.deepEqual(runs, ['/held1', '/held2']);
 });
 
+test('a caller that closes within a request cancels its requests', async () => {
+  // Guards against work for a caller that has left with half of a head or a body sent.
+  const halves = ['GET /3 HTT', 'POST /3 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf'];
+  for (const half of halves) {
+    const { node, runs, cancelled, caller } = await start();
+    caller.send(['GET /held1']);
+    await waitUntil(() => runs.length === 1);
+    caller.socket.end(half);
+    await waitUntil(() => cancelled.length === 1 && node.calls.runningCount === 0);
+    assert.deepEqual(runs, ['/held1']);
+  }
+});
+
 test('bytes that are no request do not replace the answer ahead', async () => {
   // Guards against a refusal of the bytes that the caller takes for the answer to its request.
   const lastRequestLine = 'connection: close\r\n';
--- a/packages/calls/src/pipelined-requests.ts
+++ b/packages/calls/src/pipelined-requests.ts
@@ -1,7 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { refuseMalformedRequest } from './client-errors.js';
 import { PipelinedConnection } from './pipelined-connection.js';
 
+/** Code of the error that a connection ended within a request. */
+const closedInRequest = 'HPE_INVALID_EOF_STATE';
+
 /** One request as it was read from a connection. */
 export interface InboundRequest {
   readonly request: IncomingMessage;
@@ -57,10 +61,13 @@
   }
 
   /**
-   * Stops reading requests from a connection that has unanswered ones, whose answers are still sent;
-   * returns false if it has none.
+   * Handles bytes that are no request. Those behind unanswered requests get no answer, which would be
+   * taken for theirs; nothing more is read from their connection. A caller that closed its connection, or
+   * whose request is incomplete, gets no answer.
    */
-  endAfterPending(socket: Socket): boolean {
-    return this.#connections.get(socket)?.endAfterPending() ?? false;
+  onMalformedRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (!connection?.hasPending) refuseMalformedRequest(error, socket);
+    else if (error.code === closedInRequest || !connection.endAfterPending()) socket.destroy(error);
   }
 }
--- a/packages/calls/src/refusals.ts
+++ b/packages/calls/src/refusals.ts
@@ -1,3 +1,4 @@
+import type { RandomSource } from '@sequoiafield/tables';
 import {
   RefusalOutcome,
   RefusalReason,
@@ -25,6 +26,15 @@
   detail,
 });
 
+/** Retry hint while there is no memory for a body; a body is held for about as long as a call takes. */
+const memoryRetryAfterMs = 200;
+
+/** Creates the refusal of a request whose body finds no memory; with jitter if `random` is given. */
+export const createMemoryRefusal = (random?: RandomSource): CallRefusal => ({
+  ...createNotRunRefusal(RefusalReason.QueueFull, 'the memory for request bodies is in use'),
+  retryAfterMs: memoryRetryAfterMs * (random ? 0.5 + random.next() : 1),
+});
+
 /** Creates the refusal of a request that may have run. */
 export const createUnknownOutcomeRefusal = (
   reason: RefusalReason,
--- a/packages/calls/src/retrying-call.ts
+++ b/packages/calls/src/retrying-call.ts
@@ -92,6 +92,7 @@
       if (!result) return this.#finalResult(this.#lastRefusal ?? this.#createNoMemberRefusal());
       if (result.kind === 'answer') {
         this.#sentToServers += 1;
+        await this.#discardFailedAnswer();
         if (!this.#mayRetryAfterAnswer(result.answer)) return result;
         this.#failedAnswer = result.answer;
         // A call that failed on the new version of a move is retried on the old version.
@@ -117,6 +118,12 @@
     return this.#sentToServers;
   }
 
+  async #discardFailedAnswer(): Promise<void> {
+    const { body } = this.#failedAnswer ?? {};
+    this.#failedAnswer = undefined;
+    await body?.[Symbol.asyncIterator]().return?.();
+  }
+
   #finalResult(refusal: CallRefusal): CallResult {
     if (this.#failedAnswer) return { kind: 'answer', answer: this.#failedAnswer };
     return toRefusalResult(this.#unknownRefusal ?? this.#withRetryAfter(refusal));
--- a/packages/calls/src/test-support/call-node-fixture.ts
+++ b/packages/calls/src/test-support/call-node-fixture.ts
@@ -10,6 +10,7 @@
   type Admission,
   type AttemptReport,
   type CallEvidence,
+  type CalledRoute,
   type CallRefusal,
   type MemberRow,
   type RouteIntent,
@@ -21,6 +22,7 @@
   createCallProxy,
   UndiciBackendClient,
   type BackendClientOptions,
+  type BodyMemory,
   type CallProtocol,
   type RetryPolicy,
 } from '../index.js';
@@ -57,7 +59,11 @@
   latencyLimitMs: 250,
 };
 
-const createRoute = (isIdempotent: boolean): RouteIntent => ({
+const createRoute = (
+  isIdempotent: boolean,
+  hasLargeBodies: boolean,
+): CalledRoute & RouteIntent => ({
+  hasLargeBodies,
   name: isIdempotent ? 'lookup' : 'settle',
   service: service.name,
   method: isIdempotent ? 'GET' : 'POST',
@@ -79,6 +85,7 @@
   readonly isAllowed?: () => boolean;
   readonly chooseVersion?: (roll: number) => string;
   readonly service?: string;
+  readonly bodyMemory?: BodyMemory;
 }
 
 /** Node in the test process whose routing, admission and rollout decisions are set by the test. */
@@ -96,6 +103,9 @@
   /** Admission permits that were released. */
   released = 0;
 
+  /** Calls that the admission was asked for. */
+  asked = 0;
+
   #isServing = true;
 
   isOutdated = false;
@@ -133,11 +143,16 @@
     const logger = new SilentLogger();
     const random = new SeededRandom(1);
     const origin = options.origin ?? 'http://127.0.0.1:9';
-    this.backend = new UndiciBackendClient({ origin, connectionsMax: 16, ...options.backend });
+    const { bodyMemory } = options;
+    this.backend = new UndiciBackendClient({
+      ...{ origin, bodyMemory, connectionsMax: 16 },
+      ...options.backend,
+    });
     const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 10 };
     const admission: Admission = {
       load: () => load,
       admit: async () => {
+        this.asked += 1;
         const refusal = options.admit?.();
         const release = (): void => {
           this.released += 1;
@@ -161,15 +176,21 @@
     const { self, backend } = this;
     this.receiver = new BackendCallReceiver({
       self,
+      bodyMemory,
       rollout,
       admission,
       evidence,
       backend,
     });
     const { receiver } = this;
-    this.transport = createTransport({ self, receiver, logger, random, ...options.transport });
+    this.transport = createTransport({
+      ...{ self, receiver, logger, random },
+      mechanisms: { bodyBudget: bodyMemory?.node },
+      ...options.transport,
+    });
     this.calls = createCallProxy({
       self,
+      bodyMemory,
       rollout,
       evidence,
       receiver,
@@ -184,7 +205,9 @@
       },
       router: {
         match: (method, path) =>
-          path.startsWith('/none') ? undefined : { route: createRoute(method !== 'POST'), service },
+          path.startsWith('/none')
+            ? undefined
+            : { route: createRoute(method !== 'POST', path.startsWith('/upload')), service },
         choose: (_service, version, tried) => {
           this.requestedVersions.push(version);
           return this.#members.find((member) => !tried.has(member.id)) ?? this.#members[0];
--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -3,6 +3,7 @@
 import { RefusalReason, type CallOpen, type CancelSignal } from '@sequoiafield/types';
 import { Pool, type Dispatcher } from 'undici';
 import type { BackendClient, BackendRequestOutcome, BackendResult } from './backend-client.js';
+import type { BodyMemory } from './body-memory.js';
 import { BackendExchange } from './backend-exchange.js';
 import { WrittenFailureClassifier, type FailureClassifier } from './failure-classifier.js';
 import { DefaultCallProtocol, type CallProtocol } from './call-protocol.js';
@@ -51,6 +52,8 @@
   readonly serverId?: () => string;
   /** Answers up to this size are read completely before they are returned; 0 by default. */
   readonly bufferedAnswerMaxBytes?: number;
+  /** Memory for answers whose reader is slow; left out for a fixed bound of each. */
+  readonly bodyMemory?: BodyMemory;
   /**
    * Lets a written non-idempotent request run to its end after its caller cancelled, since an abort
    * would make its outcome unknown. False by default.
@@ -128,11 +131,13 @@
       completesCancelledNonIdempotent = false,
       bufferedAnswerMaxBytes = 0,
       serverId,
+      bodyMemory,
     } = this.options;
     const exchange = new BackendExchange(open, {
       classifier: this.#classifier,
       protocol: this.#protocol,
       bufferedAnswerMaxBytes,
+      ...(bodyMemory ? { bodyMemory } : {}),
     });
     const onAbort = (): void => {
       const mustFinish =
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -123,6 +123,16 @@
     return this.#enqueue(open, deadlineAtMs, signal);
   }
 
+  refuseEarly(open: CallOpen): CallRefusal | undefined {
+    const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 0;
+    const isBusy = this.#running >= slots || this.#queue.size > 0;
+    const refused =
+      this.currentRefusal(open.service) ??
+      this.#callRefusal(open, open.deadlineAtMs, monotonicNowMs());
+    if (refused || !isBusy || open.mayWait !== false) return refused;
+    return createRefusal(RefusalReason.ServerBusy, 'no slot is free');
+  }
+
   /** Returns why the server gets no new calls of a service now, or undefined if it gets them. */
   currentRefusal(service: string): CallRefusal | undefined {
     const server = this.options.serverTracker.current();
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -1,9 +1,11 @@
 import {
   BackendCallReceiver,
+  createBodyMemory,
   createCallProxy,
   PortChecker,
   ReachedServerRetryPolicy,
   UndiciBackendClient,
+  type BodyMemory,
   type CallProxy,
   type CallProtocol,
 } from '@sequoiafield/calls';
@@ -24,6 +26,7 @@
   type MemberAnnouncement,
 } from '@sequoiafield/types';
 import { CallLog } from './call-log.js';
+import { createMemberAnnouncement } from './create-member-announcement.js';
 import { SeedRegistrar } from './seed-registrar.js';
 import { HeartbeatMonitor } from './heartbeat-monitor.js';
 import type { MeshNodeSettings } from './settings.js';
@@ -75,6 +78,7 @@
   readonly serverTracker: LocalServerTracker;
   readonly receiver: BackendCallReceiver;
   readonly calls: CallProxy;
+  readonly bodyMemory: BodyMemory;
   readonly heartbeatMonitor: HeartbeatMonitor;
   /** In the order in which the tick loop runs them. */
   readonly systems: readonly System[];
@@ -91,28 +95,14 @@
   isServing?: () => boolean;
 }
 
-const createMemberAnnouncement = ({
-  settings,
-  incarnation,
-}: MeshNodeComponentsOptions): MemberAnnouncement => ({
-  id: settings.id,
-  incarnation,
-  address: settings.address,
-  gossipPort: settings.peerPort,
-  linkPort: settings.peerPort,
-  callPort: settings.ingress.port,
-  region: settings.region,
-  dataCentre: settings.dataCentre,
-  service: '',
-  backendVersion: '',
-});
-
 const createNodeTransport = (
   { random, logger }: MeshNodeComponentsOptions,
   self: MemberAnnouncement,
+  bodyMemory: BodyMemory,
   late: LateComponents,
 ): Transport =>
   createTransport({
+    mechanisms: { bodyBudget: bodyMemory.node },
     self,
     random,
     logger,
@@ -179,6 +169,7 @@
   moves: Moves,
   serverTracker: LocalServerTracker,
   gate: ServerGate,
+  bodyMemory: BodyMemory,
 ): BackendCallReceiver => {
   const { address, port } = settings.backendServer;
   const portChecker = new PortChecker({ address, port }, () => gate.recordServerEnded());
@@ -193,6 +184,7 @@
       },
     },
     rollout: moves.view,
+    bodyMemory,
     admission: gate,
     evidence: moves.recorder,
     onBackendRefusal: (reason) => {
@@ -204,6 +196,7 @@
       protocol: platform.protocol,
       serverId: () => serverTracker.current()?.heartbeat.instanceId ?? '',
       bufferedAnswerMaxBytes,
+      bodyMemory,
       completesCancelledNonIdempotent: true,
       watchesAllConnections: true,
       connectTimeoutMs: backendConnectTimeoutMs,
@@ -247,7 +240,8 @@
     service: settings.service,
     heartbeatIntervalMs: settings.heartbeatIntervalMs,
   });
-  const transport = createNodeTransport(options, self, late);
+  const bodyMemory = createBodyMemory(settings.memoryBytes);
+  const transport = createNodeTransport(options, self, bodyMemory, late);
   const membership = createMembership({
     self,
     logger,
@@ -265,7 +259,7 @@
     orders: orders.view,
   });
   const moves = createNodeMoves(options, membership, orders, serverTracker, gate);
-  const receiver = createNodeReceiver(options, moves, serverTracker, gate);
+  const receiver = createNodeReceiver(options, moves, serverTracker, gate, bodyMemory);
   late.receiver = receiver;
   const router = new MeshRouter({
     selfId: settings.id,
@@ -285,6 +279,7 @@
       current: () => ({ configVersion: orders.view.current().configuration?.version ?? 0 }),
     },
     router,
+    bodyMemory,
     rollout: moves.view,
     evidence: moves.recorder,
     receiver,
@@ -333,6 +328,7 @@
       serverTracker,
       receiver,
       calls,
+      bodyMemory,
       heartbeatMonitor,
       systems,
     },
--- a/packages/mesh-node/src/read-settings.ts
+++ b/packages/mesh-node/src/read-settings.ts
@@ -6,6 +6,7 @@
 type Sections = Readonly<Record<string, Readonly<Record<string, unknown>> | undefined>>;
 
 const msPerS = 1000;
+const bytesPerMb = 1024 * 1024;
 const portMax = 65_535;
 const endpointPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
 
@@ -31,6 +32,12 @@
     return value;
   }
 
+  /** Reads a number that may be left out or empty. */
+  optionalNumber(section: string, key: string): number | undefined {
+    const text = this.sections[section]?.[key];
+    return text === undefined || text === '' ? undefined : this.number(section, key);
+  }
+
   port(section: string, key: string): number {
     const value = this.number(section, key);
     if (!Number.isInteger(value) || value < 1 || value > portMax) {
@@ -60,6 +67,7 @@
  */
 export const readMeshNodeSettings = (text: string): MeshNodeSettings => {
   const values = new ValueReader(parse(text));
+  const memoryMb = values.optionalNumber('limits', 'memory_mb');
   const settings: MeshNodeSettings = {
     id: values.text('node', 'id'),
     address: values.text('node', 'address'),
@@ -79,6 +87,7 @@
       slack: values.number('retries', 'slack'),
       windowMs: values.number('retries', 'window_s') * msPerS,
     },
+    ...(memoryMb === undefined ? {} : { memoryBytes: memoryMb * bytesPerMb }),
     graceMs: values.number('stop', 'grace_s') * msPerS,
   };
   if (values.problems.length > 0) {
--- a/packages/mesh-node/src/settings.ts
+++ b/packages/mesh-node/src/settings.ts
@@ -27,6 +27,8 @@
   readonly heartbeatIntervalMs: number;
   readonly store: Endpoint;
   readonly retryLimit: RetryLimit;
+  /** Memory that the process of the node may use; undefined if the settings do not name it. */
+  readonly memoryBytes?: number;
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMs: number;
 }
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -113,21 +113,19 @@
     this.#loadTracker.prune((id) => this.options.members.get(id) !== undefined);
   }
 
+  isIdempotent(path: string, host: string): boolean {
+    return this.#findRoute(host, path)?.isIdempotent ?? true;
+  }
+
   match(_method: string, path: string, host: string): RouteMatch | undefined {
-    const { configuration } = this.options.orders.current();
-    if (configuration !== this.#compiledConfiguration) {
-      this.#compiledConfiguration = configuration;
-      this.#table = new HostRouteTable(configuration?.routes ?? []);
-      this.#targetsMs = longestTargetsMs(configuration?.routes ?? []);
-      this.#routeBytes.retainOnly(new Set(configuration?.routes.map(({ name }) => name)));
-    }
-    const route = this.#table.find(host, path);
+    const route = this.#findRoute(host, path);
     const service = route && this.#splitters.next(route);
     if (!route || service === undefined) return undefined;
     return {
       route: {
         name: route.name,
         isIdempotent: route.isIdempotent,
+        hasLargeBodies: route.hasLargeBodies,
         deadlineMs: route.timeoutMs,
         retryBudgetPercent: 100 * this.options.retryLimit.ratio,
         attemptsMax: route.attemptsMax,
@@ -187,6 +185,17 @@
   }
 
   /** Fails open: returns the member whose pause ends first, which most probably serves again. */
+  #findRoute(host: string, path: string): HostRoute | undefined {
+    const { configuration } = this.options.orders.current();
+    if (configuration !== this.#compiledConfiguration) {
+      this.#compiledConfiguration = configuration;
+      this.#table = new HostRouteTable(configuration?.routes ?? []);
+      this.#targetsMs = longestTargetsMs(configuration?.routes ?? []);
+      this.#routeBytes.retainOnly(new Set(configuration?.routes.map(({ name }) => name)));
+    }
+    return this.#table.find(host, path);
+  }
+
   #firstToServeAgain(members: readonly MemberRow[], route: string): MemberRow | undefined {
     let first: MemberRow | undefined;
     let firstUntilMs = Number.POSITIVE_INFINITY;
--- a/packages/transport/src/body-channel.ts
+++ b/packages/transport/src/body-channel.ts
@@ -7,7 +7,7 @@
 
 /** Callbacks of a body channel to its producer. */
 export interface BodyChannelOwner {
-  /** Called when the consumer has taken bytes, so that as many more may be sent. */
+  /** Called when bytes were taken or discarded, so that as many more may be sent. */
   onConsumed(bytes: number): void;
   /** Called when the consumer stopped reading before the end. */
   onAbandoned(): void;
@@ -61,7 +61,7 @@
   fail(error: Error): void {
     if (this.isSettled) return;
     this.#error = error;
-    this.#chunks = [];
+    this.#dropChunks();
     this.#wakeConsumer();
   }
 
@@ -70,9 +70,16 @@
     if (!this.#isEnded) return undefined;
     const whole = joinChunks(this.#chunks);
     this.#chunks = [];
+    if (whole.byteLength > 0) this.owner?.onConsumed(whole.byteLength);
     return whole;
   }
 
+  /** Discards what was not taken; a body that is not complete fails. */
+  discard(): void {
+    if (this.isSettled) this.#dropChunks();
+    else this.fail(new TransportError('The body was abandoned by its consumer'));
+  }
+
   async next(): Promise<IteratorResult<Uint8Array, undefined>> {
     for (;;) {
       if (this.#error) throw this.#error;
@@ -89,10 +96,9 @@
   }
 
   async return(): Promise<IteratorResult<Uint8Array, undefined>> {
-    if (!this.isSettled) {
-      this.fail(new TransportError('The body was abandoned by its consumer'));
-      this.owner?.onAbandoned();
-    }
+    const isAbandoned = !this.isSettled;
+    this.discard();
+    if (isAbandoned) this.owner?.onAbandoned();
     return { done: true, value: undefined };
   }
 
@@ -100,6 +106,12 @@
     return this;
   }
 
+  #dropChunks(): void {
+    const bytes = this.#chunks.reduce((sum, chunk) => sum + chunk.byteLength, 0);
+    this.#chunks = [];
+    if (bytes > 0) this.owner?.onConsumed(bytes);
+  }
+
   #wakeConsumer(): void {
     const wake = this.#wake;
     this.#wake = undefined;
--- a/packages/transport/src/body-receiver.ts
+++ b/packages/transport/src/body-receiver.ts
@@ -1,6 +1,6 @@
 import { TransportError } from '@sequoiafield/errors';
-import type { BodyCheck } from './body-check.js';
 import { BodyChannel, type BodyChannelOwner } from './body-channel.js';
+import type { BodyMemoryBudget } from './body-memory-budget.js';
 import type { FrameSink } from './body-sender.js';
 import {
   decodeByteCount,
@@ -10,6 +10,7 @@
   FrameKind,
 } from './frames.js';
 import type { TransportLimits } from './limits.js';
+import type { TransportMechanisms } from './mechanisms.js';
 
 /**
  * Receives the data frames of one body: checks that none is missing or duplicated and that the
@@ -28,8 +29,10 @@
     private readonly sink: FrameSink,
     private readonly id: number,
     private readonly limits: TransportLimits,
-    private readonly bodyCheck: BodyCheck,
+    private readonly mechanisms: Pick<TransportMechanisms, 'bodyCheck'>,
     private readonly onAborted: () => void,
+    /** Counts the bytes that were received and not consumed. */
+    private readonly budget?: BodyMemoryBudget,
   ) {
     this.#grantedBytes = limits.windowBytes;
   }
@@ -38,7 +41,7 @@
     if (this.channel.isSettled) return;
     const bytes = decodeDataBytes(payload);
     const endBytes = this.#receivedBytes + bytes.byteLength;
-    if (!this.bodyCheck.continues(decodeByteCount(payload), this.#receivedBytes)) {
+    if (!this.mechanisms.bodyCheck.continues(decodeByteCount(payload), this.#receivedBytes)) {
       this.#fail('A data frame is missing or doubled');
     } else if (endBytes > this.#grantedBytes) {
       this.#fail(`The sender exceeded the window of ${this.limits.windowBytes} bytes`);
@@ -46,19 +49,24 @@
       this.#fail(`The body is larger than ${this.limits.bodyMaxBytes} bytes`);
     } else {
       this.#receivedBytes = endBytes;
+      this.budget?.add(bytes.byteLength);
       this.channel.push(bytes);
     }
   }
 
   onEnd(payload: Buffer): void {
     if (this.channel.isSettled) return;
-    const isComplete = this.bodyCheck.isComplete(decodeByteCount(payload), this.#receivedBytes);
+    const isComplete = this.mechanisms.bodyCheck.isComplete(
+      decodeByteCount(payload),
+      this.#receivedBytes,
+    );
     if (!isComplete) this.#fail('The body is truncated');
     else this.channel.end();
   }
 
   onConsumed(bytes: number): void {
     this.#consumedBytes += bytes;
+    this.budget?.release(bytes);
     const grantBytes = this.#consumedBytes + this.limits.windowBytes - this.#grantedBytes;
     // Extending the window by at least half of it keeps window frames rare.
     if (this.channel.isSettled || grantBytes < this.limits.windowBytes / 2) return;
@@ -66,6 +74,11 @@
     this.sink.write(encodeFrame(FrameKind.Window, this.id, encodeByteCount(grantBytes)));
   }
 
+  /** Discards what was not consumed when the body is no longer needed. */
+  discard(): void {
+    this.channel.discard();
+  }
+
   onAbandoned(): void {
     this.onAborted();
   }
--- a/packages/transport/src/inbound-attempt.ts
+++ b/packages/transport/src/inbound-attempt.ts
@@ -8,7 +8,6 @@
   type CallRefusal,
   type CallResult,
 } from '@sequoiafield/types';
-import type { BodyCheck } from './body-check.js';
 import { BodyChannel } from './body-channel.js';
 import { BodyReceiver } from './body-receiver.js';
 import { BodySender } from './body-sender.js';
@@ -17,6 +16,7 @@
 import type { Connection } from './connection.js';
 import { decodeByteCount, encodeFrame, FrameKind } from './frames.js';
 import type { TransportLimits } from './limits.js';
+import type { TransportMechanisms } from './mechanisms.js';
 
 /** Receiving side of one attempt, from its open frame until its answer has been sent. */
 export class InboundAttempt {
@@ -30,18 +30,25 @@
     private readonly open: CallOpen,
     private readonly connection: Connection,
     limits: TransportLimits,
-    bodyCheck: BodyCheck,
+    mechanisms: TransportMechanisms,
     private readonly onEnded: (sequence: number) => void,
   ) {
     const { sequence } = open.attempt;
-    this.#bodyReceiver = new BodyReceiver(connection, sequence, limits, bodyCheck, () => undefined);
+    this.#bodyReceiver = new BodyReceiver(
+      connection,
+      sequence,
+      limits,
+      mechanisms,
+      () => undefined,
+      mechanisms.bodyBudget,
+    );
     this.#answerBodySender = new BodySender(connection, sequence, limits.windowBytes);
   }
 
   /** Runs the call and sends its result; a call that was cancelled before does not start. */
   async run(receiver: CallReceiver): Promise<void> {
     if (this.#cancellation.aborted) {
-      this.onEnded(this.open.attempt.sequence);
+      this.#end();
       return;
     }
     let result: CallResult;
@@ -58,7 +65,7 @@
     } else {
       await this.#sendAnswer(result.answer);
     }
-    this.onEnded(this.open.attempt.sequence);
+    this.#end();
   }
 
   onFrame(kind: FrameKind, payload: Buffer): void {
@@ -68,6 +75,11 @@
     else if (kind === FrameKind.Cancel) this.abort('The sender cancelled the call');
   }
 
+  #end(): void {
+    this.#bodyReceiver.discard();
+    this.onEnded(this.open.attempt.sequence);
+  }
+
   /** Aborts the call without sending an answer. */
   abort(reason: string): void {
     this.#bodyReceiver.channel.fail(new TransportError(reason));
--- a/packages/transport/src/inbound-session.ts
+++ b/packages/transport/src/inbound-session.ts
@@ -110,7 +110,7 @@
       { ...receivedOpen, deadlineAtMs },
       this.connection,
       this.context.limits,
-      this.context.mechanisms.bodyCheck,
+      this.context.mechanisms,
       (endedSequence) => this.#attempts.delete(endedSequence),
     );
     this.#attempts.set(sequence, attempt);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,7 @@
 export { AttemptSequence } from './attempt-sequence.js';
 export { AttemptCheckResult, type AttemptGuard } from './attempt-guard.js';
 export { Cancellation } from './cancellation.js';
+export { BodyMemoryBudget } from './body-memory-budget.js';
 export { BodyChannel, type BodyChannelOwner } from './body-channel.js';
 export type { PeerIdentity } from './connection.js';
 export { TransportCounters } from './counters.js';
--- a/packages/transport/src/mechanisms.ts
+++ b/packages/transport/src/mechanisms.ts
@@ -1,4 +1,5 @@
 import type { AttemptGuard } from './attempt-guard.js';
+import type { BodyMemoryBudget } from './body-memory-budget.js';
 import { ExactBodyCheck, type BodyCheck } from './body-check.js';
 import { IdMatcher, type ExchangeMatcher } from './exchange-matcher.js';
 import { LinkClock, type PeerClock } from './link-clock.js';
@@ -18,6 +19,8 @@
   readonly bodyCheck: BodyCheck;
   /** Decides which attempts of a lost connection are sent again. */
   readonly resendPolicy: ResendPolicy;
+  /** Counts the bytes of request bodies that were received and not consumed; left out to count none. */
+  readonly bodyBudget?: BodyMemoryBudget;
   /** Creates the clock of one connection. */
   createClock(): PeerClock;
 }
--- a/packages/transport/src/outbound-attempt.ts
+++ b/packages/transport/src/outbound-attempt.ts
@@ -153,13 +153,7 @@
       this.#end();
     };
     const { connection } = session;
-    const answerReceiver = new BodyReceiver(
-      connection,
-      sequence,
-      limits,
-      mechanisms.bodyCheck,
-      onAborted,
-    );
+    const answerReceiver = new BodyReceiver(connection, sequence, limits, mechanisms, onAborted);
     this.#answerReceiver = answerReceiver;
     this.#resolve({ kind: 'answer', answer: { ...head, body: answerReceiver.channel } });
   }
--- a/packages/types/src/decisions.ts
+++ b/packages/types/src/decisions.ts
@@ -72,6 +72,8 @@
    * out.
    */
   readonly attemptsMax?: number;
+  /** Whether requests have large bodies; false if left out. */
+  readonly hasLargeBodies?: boolean;
   /** Time within which most answers of the route are due; its deadline if left out. */
   readonly targetLatencyMs?: number;
 };
@@ -103,6 +105,8 @@
 /** Matches routes and chooses the backend server of each attempt. */
 export interface Router {
   match(method: string, path: string, host: string): RouteMatch | undefined;
+  /** Whether a request may run twice; unlike `match`, it does not count towards the route's weights. */
+  isIdempotent?(path: string, host: string): boolean;
   /**
    * Chooses a member for an attempt; returns undefined if no member is left or all have just refused
    * a call of the route for lack of capacity. Members in `triedIds` are skipped if others exist.
@@ -155,6 +159,11 @@
 export interface Admission {
   /** Admits or refuses a call; `deadlineAtMs` is on this node's monotonic clock. */
   admit(open: CallOpen, deadlineAtMs: number, signal: CancelSignal): Promise<AdmissionResult>;
+  /**
+   * Returns the refusal of a call that cannot run now, so that its large body need not be received; the
+   * call is still admitted by `admit` after that.
+   */
+  refuseEarly?(open: CallOpen): CallRefusal | undefined;
   load(): LoadReport;
 }
 
