--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -238,6 +238,12 @@
     'connectionsWaited',
     'Connections of callers waited to be accepted; the event names the longest possible wait.',
   ),
+  bodyMemoryFull: defineEvent(
+    1520,
+    EventLevel.Warn,
+    'bodyMemoryFull',
+    'Large bodies were refused as not run, since the memory for bodies is in use; the event counts them.',
+  ),
   lateAnswerDropped: defineEvent(
     1500,
     EventLevel.Warn,
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -25,6 +25,7 @@
   type ClientLimits,
   type MemberAnnouncement,
 } from '@sequoiafield/types';
+import { BodyMemoryLog } from './body-memory-log.js';
 import { CallLog } from './call-log.js';
 import { createMemberAnnouncement } from './create-member-announcement.js';
 import { SeedRegistrar } from './seed-registrar.js';
@@ -316,6 +317,7 @@
       ...moves.systems,
     ],
     ...[router, ...transport.systems, ...calls.systems, callLog],
+    new BodyMemoryLog(bodyMemory, logger),
   ];
   return {
     ...{
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -13,6 +13,7 @@
   type MeshNodeComponents,
   type PlatformDependencies,
 } from './mesh-node-components.js';
+import { bodyMetricSources } from './body-metrics.js';
 import type { MetricSource } from './metrics.js';
 import type { MeshNodeSettings } from './settings.js';
 
@@ -102,7 +103,8 @@
   }
 
   metricSources(): readonly MetricSource[] {
-    const { calls, gate, membership, orders, moves, store, transport } = this.#components;
+    const { bodyMemory, calls, gate, membership, orders, moves, store, transport } =
+      this.#components;
     const { counters } = calls;
     const source = (name: string, help: string, read: () => number): MetricSource => ({
       name: `sequoiafield_${name}`,
@@ -110,6 +112,7 @@
       read,
     });
     return [
+      ...bodyMetricSources(bodyMemory, calls),
       source('calls_started_total', 'Calls of callers', () => counters.callsStarted),
       source(
         'calls_answered_total',
