Merge large bodies

Cause: bodies over 64 KB could not be retried after a refusal, took a slot while they arrived, and were bounded for each connection only. Change: a memory budget for bodies, admission of large bodies once they are there, retries of bodies that are held whole; metrics and notes. Log events of duties are a file of their own.

--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -13,6 +13,7 @@
   type UsageRecorder,
 } from './call-receiver.js';
 export type { CallSummary } from './call-summary.js';
+export { createBodyMemory, type BodyMemory } from './body-memory.js';
 export { CallCounters } from './call-counters.js';
 export {
   AnswerKind,
--- a/packages/calls/src/test-support/call-node-fixture.ts
+++ b/packages/calls/src/test-support/call-node-fixture.ts
@@ -10,6 +10,7 @@
   type Admission,
   type AttemptReport,
   type CallEvidence,
+  type CalledRoute,
   type CallRefusal,
   type KeyChecker,
   type MemberRow,
@@ -22,6 +23,7 @@
   createCallProxy,
   UndiciBackendClient,
   type BackendClientOptions,
+  type BodyMemory,
   type CallProtocol,
   type RetryPolicy,
 } from '../index.js';
@@ -58,7 +60,11 @@
   latencyLimitMs: 250,
 };
 
-const createRoute = (isIdempotent: boolean): RouteIntent => ({
+const createRoute = (
+  isIdempotent: boolean,
+  hasLargeBodies: boolean,
+): CalledRoute & RouteIntent => ({
+  hasLargeBodies,
   name: isIdempotent ? 'lookup' : 'settle',
   service: service.name,
   method: isIdempotent ? 'GET' : 'POST',
@@ -81,6 +87,7 @@
   readonly isAllowed?: () => boolean;
   readonly chooseVersion?: (roll: number) => string;
   readonly service?: string;
+  readonly bodyMemory?: BodyMemory;
 }
 
 /** Node in the test process whose routing, admission and rollout decisions are set by the test. */
@@ -98,6 +105,9 @@
   /** Admission permits that were released. */
   released = 0;
 
+  /** Calls that the admission was asked for. */
+  asked = 0;
+
   #isServing = true;
 
   isOutdated = false;
@@ -135,11 +145,16 @@
     const logger = new SilentLogger();
     const random = new SeededRandom(1);
     const origin = options.origin ?? 'http://127.0.0.1:9';
-    this.backend = new UndiciBackendClient({ origin, connectionsMax: 16, ...options.backend });
+    const { bodyMemory } = options;
+    this.backend = new UndiciBackendClient({
+      ...{ origin, bodyMemory, connectionsMax: 16 },
+      ...options.backend,
+    });
     const load = { runningCalls: 0, queuedCalls: 0, slotsNow: 10 };
     const admission: Admission = {
       load: () => load,
       admit: async () => {
+        this.asked += 1;
         const refusal = options.admit?.();
         const release = (): void => {
           this.released += 1;
@@ -163,15 +178,21 @@
     const { self, backend } = this;
     this.receiver = new BackendCallReceiver({
       self,
+      bodyMemory,
       rollout,
       admission,
       evidence,
       backend,
     });
     const { receiver } = this;
-    this.transport = createTransport({ self, receiver, logger, random, ...options.transport });
+    this.transport = createTransport({
+      ...{ self, receiver, logger, random },
+      mechanisms: { bodyBudget: bodyMemory?.node },
+      ...options.transport,
+    });
     this.calls = createCallProxy({
       self,
+      bodyMemory,
       rollout,
       evidence,
       receiver,
@@ -186,7 +207,9 @@
       },
       router: {
         match: (method, path) =>
-          path.startsWith('/none') ? undefined : { route: createRoute(method !== 'POST'), service },
+          path.startsWith('/none')
+            ? undefined
+            : { route: createRoute(method !== 'POST', path.startsWith('/upload')), service },
         choose: (_service, version, tried) => {
           this.requestedVersions.push(version);
           return this.#members.find((member) => !tried.has(member.id)) ?? this.#members[0];
--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -1,24 +1,7 @@
-/** Severity of a log event. */
-export enum EventLevel {
-  Info = 'info',
-  Warn = 'warn',
-  Error = 'error',
-}
+import { defineEvent, EventLevel, type LogEvent } from './define-event.js';
+import { dutyLogEvents } from './duty-log-events.js';
 
-/** Kind of log event: its fixed number, level, name and meaning for the operator. */
-export interface LogEvent {
-  readonly number: number;
-  readonly level: EventLevel;
-  readonly name: string;
-  readonly meaning: string;
-}
-
-const defineEvent = (
-  number: number,
-  level: EventLevel,
-  name: string,
-  meaning: string,
-): LogEvent => ({ number, level, name, meaning });
+export { EventLevel, type LogEvent } from './define-event.js';
 
 /**
  * Every event that a process logs; a number is never reused for another meaning.
@@ -262,6 +245,12 @@
     'keysRefused',
     'Requests were refused because their key is missing or unknown; counts since the start of the node.',
   ),
+  bodyMemoryFull: defineEvent(
+    1520,
+    EventLevel.Warn,
+    'bodyMemoryFull',
+    'Large bodies were refused as not run, since the memory for bodies is in use; the event counts them.',
+  ),
   lateAnswerDropped: defineEvent(
     1500,
     EventLevel.Warn,
@@ -310,58 +299,5 @@
     'backendServerReturned',
     'The backend server beside this node announced itself again after a drain; it starts cold.',
   ),
-  dutyTaken: defineEvent(
-    1800,
-    EventLevel.Info,
-    'dutyTaken',
-    'This node holds a duty from now on; the token is the revision of its record.',
-  ),
-  dutyEnded: defineEvent(
-    1801,
-    EventLevel.Warn,
-    'dutyEnded',
-    'This node no longer holds a duty; the event names the reason.',
-  ),
-  dutyStoreFailed: defineEvent(
-    1802,
-    EventLevel.Warn,
-    'dutyStoreFailed',
-    'A call to the store for a duty failed; calls are repeated, and a holding ends with its lease.',
-  ),
-  usageFixed: defineEvent(
-    1810,
-    EventLevel.Info,
-    'usageFixed',
-    'The counts of windows were fixed in the store; they are sent next.',
-  ),
-  usageIncomplete: defineEvent(
-    1811,
-    EventLevel.Warn,
-    'usageIncomplete',
-    'The counts of windows were fixed although some nodes had not delivered theirs in time.',
-  ),
-  usageWindowOmitted: defineEvent(
-    1812,
-    EventLevel.Warn,
-    'usageWindowOmitted',
-    'A window is not reported, since another node may have reported it before the store was restored.',
-  ),
-  usageReportFailed: defineEvent(
-    1813,
-    EventLevel.Warn,
-    'usageReportFailed',
-    'A usage report got no success; it is repeated until its time limit.',
-  ),
-  usageReportGivenUp: defineEvent(
-    1814,
-    EventLevel.Warn,
-    'usageReportGivenUp',
-    'A usage report was not delivered within its time limit.',
-  ),
-  usageStoreFailed: defineEvent(
-    1815,
-    EventLevel.Warn,
-    'usageStoreFailed',
-    'A call to the store for usage reports failed; it is repeated.',
-  ),
+  ...dutyLogEvents,
 } as const satisfies Record<string, LogEvent>;
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -1,9 +1,11 @@
 import {
   BackendCallReceiver,
+  createBodyMemory,
   createCallProxy,
   PortChecker,
   ReachedServerRetryPolicy,
   UndiciBackendClient,
+  type BodyMemory,
   type CallProxy,
   type CallProtocol,
 } from '@sequoiafield/calls';
@@ -24,6 +26,8 @@
   type ClientLimits,
   type MemberAnnouncement,
 } from '@sequoiafield/types';
+import { createAvailability } from './availability.js';
+import { BodyMemoryLog } from './body-memory-log.js';
 import { CallLog } from './call-log.js';
 import { createKeyCheck, type NodeKeyCheck } from './create-key-check.js';
 import { createMemberAnnouncement } from './member-announcement.js';
@@ -43,11 +47,6 @@
  * deadline.
  */
 const backendConnectTimeoutMs = 250;
-/** Time without any answer, either of a peer or of the store, after which orders may be outdated. */
-const staleAfterMs = 3000;
-/** Time without an answer of a peer after which a node is not ready; it probes once a second. */
-const disconnectedAfterMs = 3500;
-
 /** Platform-specific dependencies of a node. */
 export interface PlatformDependencies {
   readonly store: LeaseStore;
@@ -81,6 +80,7 @@
   readonly serverTracker: LocalServerTracker;
   readonly receiver: BackendCallReceiver;
   readonly calls: CallProxy;
+  readonly bodyMemory: BodyMemory;
   readonly heartbeatMonitor: HeartbeatMonitor;
   readonly refusedKeys: NodeKeyCheck['refusedKeys'];
   /** Undefined if usage is not reported. */
@@ -103,9 +103,11 @@
 const createNodeTransport = (
   { random, logger }: MeshNodeComponentsOptions,
   self: MemberAnnouncement,
+  bodyMemory: BodyMemory,
   late: LateComponents,
 ): Transport =>
   createTransport({
+    mechanisms: { bodyBudget: bodyMemory.node },
     self,
     random,
     logger,
@@ -173,6 +175,7 @@
   serverTracker: LocalServerTracker,
   gate: ServerGate,
   usage: Usage | undefined,
+  bodyMemory: BodyMemory,
 ): BackendCallReceiver => {
   const { address, port } = settings.backendServer;
   const portChecker = new PortChecker({ address, port }, () => gate.recordServerEnded());
@@ -187,6 +190,7 @@
       },
     },
     rollout: moves.view,
+    bodyMemory,
     admission: gate,
     evidence: moves.recorder,
     usage: usage?.counter,
@@ -199,6 +203,7 @@
       protocol: platform.protocol,
       serverId: () => serverTracker.current()?.heartbeat.instanceId ?? '',
       bufferedAnswerMaxBytes,
+      bodyMemory,
       completesCancelledNonIdempotent: true,
       watchesAllConnections: true,
       connectTimeoutMs: backendConnectTimeoutMs,
@@ -207,22 +212,6 @@
   });
 };
 
-/** Creates the checks `isServing` and `isConnected` of the components. */
-const createAvailability = (
-  membership: Membership,
-  orders: Orders,
-): Pick<MeshNodeComponents, 'isServing' | 'isConnected'> => {
-  const sincePeerAnswerMs = (): number => monotonicNowMs() - membership.lastGossipAckAtMs();
-  const isAlone = (): boolean => membership.view.fleetSize() <= 1;
-  const sinceStoreAnswerMs = (): number => monotonicNowMs() - orders.lastStoreAnswerAtMs();
-  return {
-    isServing: () =>
-      orders.view.current().configuration !== undefined &&
-      Math.min(sincePeerAnswerMs(), sinceStoreAnswerMs()) < staleAfterMs,
-    isConnected: () => isAlone() || sincePeerAnswerMs() < disconnectedAfterMs,
-  };
-};
-
 /**
  * Creates and connects the components of a node; nothing listens or ticks yet.
  *
@@ -242,7 +231,8 @@
     service: settings.service,
     heartbeatIntervalMs: settings.heartbeatIntervalMs,
   });
-  const transport = createNodeTransport(options, self, late);
+  const bodyMemory = createBodyMemory(settings.memoryBytes);
+  const transport = createNodeTransport(options, self, bodyMemory, late);
   const membership = createMembership({
     self,
     logger,
@@ -262,7 +252,7 @@
   const moves = createNodeMoves(options, membership, orders, serverTracker, gate);
   const links = transport.requester;
   const usage = createNodeUsage({ ...options, ...platform, links, members: membership.view });
-  const receiver = createNodeReceiver(options, moves, serverTracker, gate, usage);
+  const receiver = createNodeReceiver(options, moves, serverTracker, gate, usage, bodyMemory);
   late.receiver = receiver;
   const router = new MeshRouter({
     selfId: settings.id,
@@ -283,6 +273,7 @@
       current: () => ({ configVersion: orders.view.current().configuration?.version ?? 0 }),
     },
     router,
+    bodyMemory,
     rollout: moves.view,
     evidence: moves.recorder,
     receiver,
@@ -322,6 +313,7 @@
       ...(usage?.systems ?? []),
     ],
     ...[router, ...transport.systems, ...calls.systems, callLog, refusedKeys],
+    new BodyMemoryLog(bodyMemory, logger),
   ];
   return {
     ...{
@@ -334,6 +326,7 @@
       serverTracker,
       receiver,
       calls,
+      bodyMemory,
       heartbeatMonitor,
       refusedKeys,
       usage,
--- a/packages/mesh-node/src/read-settings.test.ts
+++ b/packages/mesh-node/src/read-settings.test.ts
@@ -38,3 +38,14 @@
     NodeError,
   );
 });
+
+test('the memory of a node is optional', () => {
+  // Guards against a node that does not start where a deployment names no memory.
+  const memoryOf = (memoryMb: string): number | undefined =>
+    readMeshNodeSettings(render({ 'limits.memory_mb': memoryMb })).memoryBytes;
+  assert.equal(memoryOf('250'), 250 * 1024 * 1024);
+  assert.equal(memoryOf(''), undefined);
+  const withoutSection = render({}).replace(/\[limits\][^[]*/, '');
+  assert.equal(readMeshNodeSettings(withoutSection).memoryBytes, undefined);
+  assert.throws(() => memoryOf('much'), /memory_mb of \[limits\] must be/);
+});
--- a/packages/routing/src/mesh/mesh-router.ts
+++ b/packages/routing/src/mesh/mesh-router.ts
@@ -115,21 +115,19 @@
     this.#loadTracker.prune((id) => this.options.members.get(id) !== undefined);
   }
 
+  isIdempotent(path: string, host: string): boolean {
+    return this.#findRoute(host, path)?.isIdempotent ?? true;
+  }
+
   match(_method: string, path: string, host: string): RouteMatch | undefined {
-    const { configuration } = this.options.orders.current();
-    if (configuration !== this.#compiledConfiguration) {
-      this.#compiledConfiguration = configuration;
-      this.#table = new HostRouteTable(configuration?.routes ?? []);
-      this.#targetsMs = longestTargetsMs(configuration?.routes ?? []);
-      this.#routeBytes.retainOnly(new Set(configuration?.routes.map(({ name }) => name)));
-    }
-    const route = this.#table.find(host, path);
+    const route = this.#findRoute(host, path);
     const service = route && this.#splitters.next(route);
     if (!route || service === undefined) return undefined;
     return {
       route: {
         name: route.name,
         isIdempotent: route.isIdempotent,
+        hasLargeBodies: route.hasLargeBodies,
         deadlineMs: route.timeoutMs,
         retryBudgetPercent: 100 * this.options.retryLimit.ratio,
         attemptsMax: route.attemptsMax,
@@ -140,7 +138,7 @@
         name: service,
         priority: route.rank,
         stableVersion: '',
-        capacityMode: configuration?.services.get(service)?.capacityMode ?? CapacityMode.Declared,
+        capacityMode: this.#capacityModeOf(service),
       },
     };
   }
@@ -198,6 +196,18 @@
     return this.#retryBudget.takeRetry(service);
   }
 
+  /** Returns the route of a path in the configuration in force. */
+  #findRoute(host: string, path: string): HostRoute | undefined {
+    const { configuration } = this.options.orders.current();
+    if (configuration !== this.#compiledConfiguration) {
+      this.#compiledConfiguration = configuration;
+      this.#table = new HostRouteTable(configuration?.routes ?? []);
+      this.#targetsMs = longestTargetsMs(configuration?.routes ?? []);
+      this.#routeBytes.retainOnly(new Set(configuration?.routes.map(({ name }) => name)));
+    }
+    return this.#table.find(host, path);
+  }
+
   /** Fails open: returns the member whose pause ends first, which most probably serves again. */
   #firstToServeAgain(members: readonly MemberRow[], route: string): MemberRow | undefined {
     let first: MemberRow | undefined;
@@ -225,8 +235,7 @@
     service: string,
     usedMembersCount: number,
   ): boolean {
-    const { configuration } = this.options.orders.current();
-    if (configuration?.services.get(service)?.capacityMode !== CapacityMode.Learned) return false;
+    if (this.#capacityModeOf(service) !== CapacityMode.Learned) return false;
     const baseline = this.#loadTracker.baselineOf(service);
     return comparedNear.some((row) => {
       const load = this.#loadTracker.estimate(row, service, usedMembersCount);
@@ -234,6 +243,11 @@
     });
   }
 
+  #capacityModeOf(service: string): CapacityMode {
+    const { configuration } = this.options.orders.current();
+    return configuration?.services.get(service)?.capacityMode ?? CapacityMode.Declared;
+  }
+
   /** Factor of the penalties for a service with a longer target than the reference. */
   #penaltyFactor(service: string): number {
     return Math.max(1, this.#targetLatencyMsOf(service) / referenceTargetMs);
--- a/packages/transport/src/inbound-session.ts
+++ b/packages/transport/src/inbound-session.ts
@@ -109,7 +109,7 @@
       this.#toLocalTimes(receivedOpen),
       this.connection,
       this.context.limits,
-      this.context.mechanisms.bodyCheck,
+      this.context.mechanisms,
       (endedSequence) => this.#attempts.delete(endedSequence),
     );
     this.#attempts.set(sequence, attempt);
