--- a/packages/usage/src/usage-sender.ts
+++ b/packages/usage/src/usage-sender.ts
@@ -8,7 +8,7 @@
 
 /** Interval of messages while counts change; grows with the group, whose collectors get all of them. */
 const sendIntervalMinMs = 500;
-const sendIntervalPerMemberMs = 30;
+const sendIntervalPerMemberMs = 20;
 const sendTimeoutMs = 400;
 
 /** Dependencies of a `UsageSender`. */
