Admit calls up to the learned limit for services without a declared capacity

A gate ran as many calls as its server has slots, also where fewer calls would be done sooner. An optional setting [capacity] mode switches it off or on for a node.

--- a/packages/capacity/src/learned-capacity.ts
+++ b/packages/capacity/src/learned-capacity.ts
@@ -16,6 +16,8 @@
  * usual speed for a while, but a lasting change becomes usual.
  */
 const ignoredSlownessShare = 0.8;
+/** Logarithm of the slowness up to which it may be due to chance, and enters the history as a whole. */
+const ignoredSlownessMin = 0.3;
 /** Weight of one call in the running calls at which the history was learned; that of the history. */
 const historyRunningWeight = 0.02;
 /** Weight of one call in the mean latency over all routes. */
@@ -100,7 +102,8 @@
     const logStretch = model.logStretch(runningCalls);
     const logSlowness = this.#speed.logSlowness(nowMs);
     const logRatio = this.#history.logRatio(route, latencyMs);
-    this.#history.add(route, latencyMs, logStretch + ignoredSlownessShare * logSlowness);
+    const ignored = ignoredSlownessShare * Math.max(0, logSlowness - ignoredSlownessMin);
+    this.#history.add(route, latencyMs, logStretch + ignored);
     this.#meanMs += (latencyMs - this.#meanMs) * (this.#meanMs === 0 ? 1 : newCallWeight);
     if (logRatio === undefined) return;
     this.#speed.add(this.#bounded(logRatio - logStretch, logSlowness), nowMs);
--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -7,13 +7,13 @@
   type CallRefusal,
   type CancelSignal,
   type LoadReport,
-  type OrdersView,
   type Permit,
 } from '@sequoiafield/types';
 import { ColdLimiter } from './cold-limiter.js';
 import { createRefusal } from './create-refusal.js';
 import type { LocalServer, LocalServerTracker } from './local-server-tracker.js';
 import { RouteLatencyTargets } from './route-latency-targets.js';
+import { ServerCapacity, type ServerCapacityOptions } from './server-capacity.js';
 import { ServiceTimes } from './service-times.js';
 import { CallEnd, ShedBreaker } from './shed-breaker.js';
 import { DueTimeQueue, type DueTimeEntry } from './due-time-queue.js';
@@ -32,10 +32,9 @@
 const retryAfterMinMs = 20;
 
 /** Options of `ServerGate`. */
-export interface ServerGateOptions {
+export interface ServerGateOptions extends ServerCapacityOptions {
   readonly dataCentre: string;
   readonly serverTracker: LocalServerTracker;
-  readonly orders: OrdersView;
 }
 
 interface QueuedCall extends DueTimeEntry {
@@ -84,16 +83,20 @@
 
   readonly #coldLimiter: ColdLimiter;
 
+  /** What is known of the server's capacity. */
+  readonly capacity: ServerCapacity;
+
   constructor(private readonly options: ServerGateOptions) {
     this.#latencyTargets = new RouteLatencyTargets(options.orders);
     this.#coldLimiter = new ColdLimiter(options.dataCentre, options.orders);
+    this.capacity = new ServerCapacity(options);
   }
 
   load(): LoadReport {
     return {
       runningCalls: this.#running,
       queuedCalls: this.#queue.size,
-      slotsNow: this.options.serverTracker.current()?.heartbeat.slots ?? 0,
+      slotsNow: this.capacity.limit(),
       meanServiceMs: this.#serviceTimes.meanMs,
       failureRatio: this.#serviceTimes.failureRatio,
     };
@@ -111,7 +114,7 @@
     if (refused || !server) {
       return this.#refuse(refused ?? createRefusal(RefusalReason.NotReady, 'no server is known'));
     }
-    if (this.#running < server.heartbeat.slots && this.#queue.size === 0) {
+    if (this.#running < this.capacity.admissionLimit() && this.#queue.size === 0) {
       const coldRefusal = this.#coldLimiter.count(server, nowMs);
       return coldRefusal
         ? this.#refuse(coldRefusal)
@@ -175,6 +178,7 @@
   run(tick: Pick<Tick, 'nowMs'>): void {
     this.#coldLimiter.trackEvacuation(tick.nowMs);
     this.#resetOnNewIncarnation();
+    this.capacity.logChange(tick.nowMs);
     for (const call of [...this.#queue.all()]) {
       const refused =
         this.currentRefusal(call.open.service) ??
@@ -199,13 +203,14 @@
     this.#incarnation = incarnation;
     this.#serviceTimes = new ServiceTimes();
     this.#shedBreaker = new ShedBreaker();
+    this.capacity.reset();
     this.#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
     this.#coldLimiter.recordIncarnation();
   }
 
   /** Refuses a call for its remaining time or for the calls queued ahead of it. */
   #callRefusal(open: CallOpen, deadlineAtMs: number, nowMs: number): CallRefusal | undefined {
-    const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 1;
+    const slots = this.capacity.limit();
     const { targetMs, dueInMs } = this.#latencyTargets.get(open.route);
     const waitMs = this.#running < slots ? 0 : this.#expectedWaitMs(nowMs + dueInMs, slots);
     // Under overload a longer wait serves no more calls, but makes every answer late.
@@ -255,11 +260,12 @@
 
   /** Expected time until the calls that are queued now have started. */
   #retryAfterMs(): number {
-    const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 1;
+    const slots = this.capacity.limit();
     return Math.max(retryAfterMinMs, ((this.#queue.size + 1) * this.#serviceTimes.meanMs) / slots);
   }
 
   #permit(open: CallOpen): Permit {
+    const endCall = this.capacity.begin(open.route, this.#running, this.isCold());
     this.#running += 1;
     const incarnation = this.#incarnation;
     const breaker = this.#shedBreaker;
@@ -271,6 +277,7 @@
         isReleased = true;
         const { hasFailed, latencyMs, wasShed = false, wasAnswered = !hasFailed } = result;
         this.#running -= 1;
+        endCall(result);
         breaker.end(callEndOf(hasFailed, wasShed, latencyMs), isTrial);
         if (incarnation === this.#incarnation && latencyMs > 0) {
           this.#serviceTimes.record(open.route, latencyMs, hasFailed);
@@ -316,7 +323,7 @@
     const nowMs = monotonicNowMs();
     for (;;) {
       const server = this.options.serverTracker.current();
-      if (!server || this.#running >= server.heartbeat.slots) return;
+      if (!server || this.#running >= this.capacity.admissionLimit()) return;
       const call = this.#queue.shift();
       if (!call) return;
       const refused =
--- a/packages/logger/src/log-events.ts
+++ b/packages/logger/src/log-events.ts
@@ -280,6 +280,12 @@
     'backendServerSilent',
     'The backend server beside this node sends neither heartbeats nor answers, or refused a connection.',
   ),
+  learnedLimitChanged: defineEvent(
+    1706,
+    EventLevel.Info,
+    'learnedLimitChanged',
+    'The node learned that the backend server beside it takes another number of calls well at a time.',
+  ),
   backendServerReturned: defineEvent(
     1701,
     EventLevel.Info,
--- a/packages/mesh-node/src/mesh-node-components.ts
+++ b/packages/mesh-node/src/mesh-node-components.ts
@@ -263,6 +263,8 @@
     dataCentre: settings.dataCentre,
     serverTracker,
     orders: orders.view,
+    capacityMode: settings.capacityMode,
+    logger,
   });
   const moves = createNodeMoves(options, membership, orders, serverTracker, gate);
   const receiver = createNodeReceiver(options, moves, serverTracker, gate);
--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -136,6 +136,12 @@
       ),
       source('backend_failures_total', 'Failed by the own server', () => counters.backendFailures),
       source('gate_running_calls', 'Calls on the own server', () => gate.load().runningCalls),
+      source('gate_slots_now', 'Calls that may run at a time', () => gate.load().slotsNow),
+      source(
+        'gate_server_speed',
+        'Speed of the own server against its own history; 1 if it is not learned',
+        () => gate.capacity.speed(),
+      ),
       source('gate_queued_calls', 'Calls that wait for a slot', () => gate.load().queuedCalls),
       source(
         'log_lines_dropped_total',
--- a/packages/mesh-node/src/read-settings.ts
+++ b/packages/mesh-node/src/read-settings.ts
@@ -1,5 +1,6 @@
 import { parse } from 'ini';
 import { NodeError } from '@sequoiafield/errors';
+import { CapacityMode } from '@sequoiafield/types';
 import type { Endpoint, MeshNodeSettings } from './settings.js';
 
 /** Values of the settings file by section and key. */
@@ -22,6 +23,22 @@
     return '';
   }
 
+  /** Returns one of the choices, or undefined if the key is missing, empty or `auto`. */
+  choice<Choice extends string>(
+    section: string,
+    key: string,
+    choices: readonly Choice[],
+  ): Choice | undefined {
+    const value = this.sections[section]?.[key];
+    if (value === undefined || value === '' || value === 'auto') return undefined;
+    const choice = choices.find((candidate) => candidate === value);
+    if (choice === undefined) {
+      const expected = ['auto', ...choices].join(', ');
+      this.problems.push(`${key} of [${section}] must be one of ${expected}, not "${value}"`);
+    }
+    return choice;
+  }
+
   number(section: string, key: string): number {
     const text = this.text(section, key);
     const value = Number(text);
@@ -73,6 +90,7 @@
     backendServer: values.endpoint('backend_server'),
     service: values.text('backend_server', 'service'),
     heartbeatIntervalMs: values.number('backend_server', 'heartbeat_interval_s') * msPerS,
+    capacityMode: values.choice('capacity', 'mode', Object.values(CapacityMode)),
     store: values.endpoint('store'),
     retryLimit: {
       ratio: values.number('retries', 'ratio'),
--- a/packages/mesh-node/src/settings.ts
+++ b/packages/mesh-node/src/settings.ts
@@ -1,4 +1,5 @@
 import type { RetryLimit } from '@sequoiafield/routing';
+import type { CapacityMode } from '@sequoiafield/types';
 
 /** IP address and port. */
 export interface Endpoint {
@@ -25,6 +26,8 @@
   /** Service of the backend server, and of the requests that begin at this node. */
   readonly service: string;
   readonly heartbeatIntervalMs: number;
+  /** How the capacity of the backend server is known; undefined if the configuration decides. */
+  readonly capacityMode?: CapacityMode | undefined;
   readonly store: Endpoint;
   readonly retryLimit: RetryLimit;
   /** Time between the stop signal and the forced termination of the process. */
