--- a/packages/capacity/src/knee-hypothesis.ts
+++ b/packages/capacity/src/knee-hypothesis.ts
@@ -6,9 +6,17 @@
 /** Samples after which evidence has the weight 1 / e. */
 const evidenceMemorySamples = 1500;
 
+/** Why the number of running calls was what it was. */
+export enum EvidenceSource {
+  /** By the demand and the latency, which other causes of a slow server change as well. */
+  Observed = 'observed',
+  /** By the limit, which was changed on purpose while calls waited. */
+  Tested = 'tested',
+}
+
 /** One way in which a server may slow down with the calls that it runs. */
 export class KneeHypothesis {
-  #evidence = 0;
+  readonly #evidence = { observed: 0, tested: 0 };
 
   #level = 0;
 
@@ -32,9 +40,9 @@
     this.bestLimit = this.values.indexOf(1) + 1;
   }
 
-  /** Logarithm of the likelihood, up to a constant that all hypotheses have in common. */
-  get evidence(): number {
-    return this.#evidence;
+  /** Logarithm of the likelihood of calls, up to a constant that all hypotheses have in common. */
+  evidenceOf(source: EvidenceSource): number {
+    return this.#evidence[source];
   }
 
   /** Present level of the logarithm of latencies without the part that is due to running calls. */
@@ -42,16 +50,19 @@
     return this.#level;
   }
 
-  /** Adds to the level and to the evidence; former evidence loses weight. */
-  update(levelChange: number, logLikelihood: number): void {
-    this.#level += levelChange;
-    if (logLikelihood === 0) return;
-    this.#evidence += logLikelihood - this.#evidence / evidenceMemorySamples;
+  /** Shifts the level of the latencies. */
+  shift(logRatio: number): void {
+    this.#level += logRatio;
+  }
+
+  /** Adds to the evidence of a source; former evidence loses weight. */
+  addEvidence(source: EvidenceSource, logLikelihood: number): void {
+    this.#evidence[source] += logLikelihood - this.#evidence[source] / evidenceMemorySamples;
   }
 
-  /** Raises the evidence to a minimum. */
-  limitEvidence(evidenceMin: number): void {
-    this.#evidence = Math.max(this.#evidence, evidenceMin);
+  /** Raises the evidence of a source to a minimum. */
+  limitEvidence(source: EvidenceSource, evidenceMin: number): void {
+    this.#evidence[source] = Math.max(this.#evidence[source], evidenceMin);
   }
 
   /** Logarithm of the factor by which running calls slow each other down. */
--- a/packages/capacity/src/limit-selector.ts
+++ b/packages/capacity/src/limit-selector.ts
@@ -1,3 +1,4 @@
+import { EvidenceSource } from './knee-hypothesis.js';
 import { KneeModel } from './knee-model.js';
 
 /** Expected gain from which on the settled limit changes. */
@@ -16,6 +17,8 @@
 const trialBudgetShare = 0.007;
 /** Lowest next limit as a share of the settled one, so that a wrong one is soon corrected. */
 const nextLimitShareMin = 0.5;
+/** Answers after a trial that are compared with those of the trial. */
+const comparedSamples = 40;
 /** Step of the sequence of numbers in [0, 1) that draws limits; it fills the interval evenly. */
 const rollStep = (Math.sqrt(5) - 1) / 2;
 
@@ -47,6 +50,8 @@
 
   #roll = 0;
 
+  #samplesSinceTrial = Number.POSITIVE_INFINITY;
+
   constructor(readonly slots: number) {
     this.model = new KneeModel(slots);
     this.settledLimit = slots;
@@ -62,7 +67,7 @@
 
   /** Records an answered call; `meanMs` is the present mean latency. */
   recordAnswer(runningCalls: number, logRatio: number, meanMs: number, nowMs: number): void {
-    this.model.add(runningCalls, logRatio);
+    this.model.add(runningCalls, logRatio, this.#evidenceSource());
     const best = this.model.bestLimit();
     const gain = this.model.valueOf(best) - this.model.valueOf(this.settledLimit);
     if (gain > changeGainMin) this.settledLimit = Math.max(best, this.#lowestLimit());
@@ -75,6 +80,15 @@
     this.admissionLimit = this.#nextLimit();
   }
 
+  /** Calls that end soon after a phase with another limit are compared with those that ran in it. */
+  #evidenceSource(): EvidenceSource {
+    if (this.admissionLimit === this.settledLimit) this.#samplesSinceTrial += 1;
+    else this.#samplesSinceTrial = 0;
+    const isTested =
+      this.#bindingShare >= bindingShare && this.#samplesSinceTrial < comparedSamples;
+    return isTested ? EvidenceSource.Tested : EvidenceSource.Observed;
+  }
+
   #nextLimit(): number {
     if (this.#bindingShare < bindingShare) return this.settledLimit;
     this.#roll = (this.#roll + rollStep) % 1;
