--- a/packages/gate/src/server-gate.ts
+++ b/packages/gate/src/server-gate.ts
@@ -7,13 +7,13 @@
   type CallRefusal,
   type CancelSignal,
   type LoadReport,
-  type OrdersView,
   type Permit,
 } from '@sequoiafield/types';
 import { ColdLimiter } from './cold-limiter.js';
 import { createRefusal } from './create-refusal.js';
 import type { LocalServer, LocalServerTracker } from './local-server-tracker.js';
 import { RouteLatencyTargets } from './route-latency-targets.js';
+import { ServerCapacity, type ServerCapacityOptions } from './server-capacity.js';
 import { ServiceTimes } from './service-times.js';
 import { CallEnd, ShedBreaker } from './shed-breaker.js';
 import type { CallScheduler, ServerObservation } from './scheduling/call-scheduler.js';
@@ -22,10 +22,9 @@
 /** Time without calls after a connection that could not be opened, unless a heartbeat or an answer ends it earlier. */
 const connectFailedPauseMs = 1000;
 /** Options of `ServerGate`. */
-export interface ServerGateOptions {
+export interface ServerGateOptions extends ServerCapacityOptions {
   readonly dataCentre: string;
   readonly serverTracker: LocalServerTracker;
-  readonly orders: OrdersView;
 }
 
 const callEndOf = (hasFailed: boolean, wasShed: boolean, latencyMs: number): CallEnd => {
@@ -68,9 +67,13 @@
 
   readonly #coldLimiter: ColdLimiter;
 
+  /** What is known of the server's capacity. */
+  readonly capacity: ServerCapacity;
+
   constructor(private readonly options: ServerGateOptions) {
     this.#latencyTargets = new RouteLatencyTargets(options.orders);
     this.#coldLimiter = new ColdLimiter(options.dataCentre, options.orders);
+    this.capacity = new ServerCapacity(options);
     this.#scheduler = new DueTimeScheduler(this.#observation(), this.#latencyTargets);
   }
 
@@ -78,7 +81,7 @@
     return {
       runningCalls: this.#running,
       queuedCalls: this.#scheduler.size,
-      slotsNow: this.options.serverTracker.current()?.heartbeat.slots ?? 0,
+      slotsNow: this.capacity.limit(),
       meanServiceMs: this.#serviceTimes.meanMs,
       failureRatio: this.#serviceTimes.failureRatio,
     };
@@ -97,7 +100,7 @@
     if (refused || !server) {
       return this.#refuse(refused ?? createRefusal(RefusalReason.NotReady, 'no server is known'));
     }
-    if (this.#running < server.heartbeat.slots && this.#scheduler.size === 0) {
+    if (this.#running < this.capacity.admissionLimit() && this.#scheduler.size === 0) {
       const coldRefusal = this.#coldLimiter.count(server, nowMs);
       return coldRefusal
         ? this.#refuse(coldRefusal)
@@ -110,8 +113,7 @@
   }
 
   refuseEarly(open: CallOpen): CallRefusal | undefined {
-    const slots = this.options.serverTracker.current()?.heartbeat.slots ?? 0;
-    const isBusy = this.#running >= slots || this.#scheduler.size > 0;
+    const isBusy = this.#running >= this.capacity.limit() || this.#scheduler.size > 0;
     const { deadlineAtMs } = open;
     const refused =
       this.currentRefusal(open.service) ??
@@ -172,6 +174,7 @@
   run(tick: Pick<Tick, 'nowMs'>): void {
     this.#coldLimiter.trackEvacuation(tick.nowMs);
     this.#resetOnNewIncarnation();
+    this.capacity.logChange(tick.nowMs);
     for (const call of this.#scheduler.all()) {
       const areOthersQueued = this.#scheduler.size > 1;
       const refused =
@@ -192,13 +195,14 @@
     this.#incarnation = incarnation;
     this.#serviceTimes = new ServiceTimes();
     this.#shedBreaker = new ShedBreaker();
+    this.capacity.reset();
     this.#lastAnswerAtMs = Number.NEGATIVE_INFINITY;
     this.#coldLimiter.recordIncarnation();
   }
 
   #observation(): ServerObservation {
     const running = (): number => this.#running;
-    const slots = (): number => this.options.serverTracker.current()?.heartbeat.slots ?? 1;
+    const slots = (): number => Math.max(1, this.capacity.limit());
     const serviceTimes = (): ServiceTimes => this.#serviceTimes;
     const recordedAtMs = (): number => this.#serviceTimeRecordedAtMs;
     return {
@@ -218,6 +222,7 @@
   }
 
   #permit(open: CallOpen): Permit {
+    const endCall = this.capacity.begin(open.route, this.#running, this.isCold());
     this.#running += 1;
     const incarnation = this.#incarnation;
     const breaker = this.#shedBreaker;
@@ -229,6 +234,7 @@
         isReleased = true;
         const { hasFailed, latencyMs, wasShed = false, wasAnswered = !hasFailed } = result;
         this.#running -= 1;
+        endCall(result);
         breaker.end(callEndOf(hasFailed, wasShed, latencyMs), isTrial);
         if (incarnation === this.#incarnation && latencyMs > 0) {
           this.#serviceTimes.record(open.route, latencyMs, hasFailed);
@@ -267,7 +273,7 @@
     const nowMs = monotonicNowMs();
     for (;;) {
       const server = this.options.serverTracker.current();
-      if (!server || this.#running >= server.heartbeat.slots) return;
+      if (!server || this.#running >= this.capacity.admissionLimit()) return;
       const call = this.#scheduler.shift(nowMs);
       if (!call) return;
       const refused =
--- a/packages/mesh-node/src/read-settings.test.ts
+++ b/packages/mesh-node/src/read-settings.test.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { NodeError } from '@sequoiafield/errors';
+import { CapacityMode } from '@sequoiafield/types';
 import { readMeshNodeSettings } from './read-settings.js';
 
 const templateFile = new URL('../../../deploy/settings.ini', import.meta.url);
@@ -49,3 +50,16 @@
   assert.equal(readMeshNodeSettings(withoutSection).memoryBytes, undefined);
   assert.throws(() => memoryOf('much'), /memory_mb of \[limits\] must be/);
 });
+
+test('the capacity mode is optional, and a misspelt one ends the start', () => {
+  // Guards against deployments without the section that no longer start, and against a switch that
+  // is silently ignored.
+  const modeOf = (mode: string): CapacityMode | undefined =>
+    readMeshNodeSettings(`${render({})}\n[capacity]\nmode = ${mode}`).capacityMode;
+  assert.equal(readMeshNodeSettings(render({})).capacityMode, undefined);
+  assert.equal(modeOf(''), undefined);
+  assert.equal(modeOf('auto'), undefined);
+  assert.equal(modeOf('declared'), CapacityMode.Declared);
+  assert.equal(modeOf('learned'), CapacityMode.Learned);
+  assert.throws(() => modeOf('off'), /mode of \[capacity\] must be one of auto, declared, learned/);
+});
--- a/packages/mesh-node/src/settings.ts
+++ b/packages/mesh-node/src/settings.ts
@@ -1,4 +1,5 @@
 import type { RetryLimit } from '@sequoiafield/routing';
+import type { CapacityMode } from '@sequoiafield/types';
 
 /** IP address and port. */
 export interface Endpoint {
@@ -36,6 +37,8 @@
   /** Service of the backend server, and of the requests that begin at this node. */
   readonly service: string;
   readonly heartbeatIntervalMs: number;
+  /** How the capacity of the backend server is known; undefined if the configuration decides. */
+  readonly capacityMode?: CapacityMode | undefined;
   readonly store: Endpoint;
   readonly retryLimit: RetryLimit;
   /** Memory that the process of the node may use; undefined if the settings do not name it. */
