Make two tests of large bodies fail without what they guard

Cause: with the memory for unread answers or the discard of refused bodies taken out, all tests still passed: the buffers of the sockets took the whole answer, and fetch reads a refusal despite the reset. Change: the answer is 7.5 MB, and a raw caller sends its body after the refusal and goes on with the connection.

--- a/packages/calls/src/large-bodies.test.ts
+++ b/packages/calls/src/large-bodies.test.ts
@@ -110,9 +110,12 @@
 
 test('a slow reader of an answer does not hold the slot of its call', async () => {
   // Guards against callers on slow links that take all slots, and a server that cuts them off.
-  const answer = Buffer.alloc(1_500_000, 'a');
+  // More than the sockets' buffers take.
+  const answer = Buffer.alloc(7_500_000, 'a');
+  const bodyMemory = createMemory({ answerMaxBytes: 8_000_000 });
   const { origin } = await startServer(answer);
-  const node = await startNode('b', { origin, backend: { bufferedAnswerMaxBytes: 256 * 1024 } });
+  const backend = { bufferedAnswerMaxBytes: 256 * 1024 };
+  const node = await startNode('b', { origin, backend, bodyMemory });
   const entryNode = await startNode('a');
   entryNode.setMembers([node.row]);
   const caller = new PipeliningCaller(entryNode.calls.callPort);
@@ -156,6 +159,14 @@
   node.add(900_000);
   assert.deepEqual(await post(entryNode, '/upload'), [503, 'not-run']);
   assert.deepEqual([node.refusals, node.peakBytes <= 1_300_000], [1, true]);
+  const caller = new PipeliningCaller(entryNode.calls.callPort);
+  caller.send(['POST /upload'], `content-length: ${upload.byteLength}\r\n`);
+  await waitUntil(() => node.refusals === 2);
+  caller.socket.write(upload);
+  await waitUntil(() => caller.answers.length === 1);
+  caller.send(['GET /next']);
+  await waitUntil(() => caller.answers.length === 2);
+  assert.deepEqual([caller.answers[0]!.status, caller.answers[1]!.status], ['503', '200']);
   node.release(900_000);
 });
 
