Say on the readiness page and in a metric which entries cannot be decoded

Cause: a node that cannot decode a newer configuration keeps the former one, which only its log said. Result: the tests of the orders table pass.

--- a/packages/mesh-node/src/mesh-node.ts
+++ b/packages/mesh-node/src/mesh-node.ts
@@ -77,6 +77,12 @@
     );
   }
 
+  /** Says what an operator should know although the node serves; empty if there is nothing. */
+  readinessNote(): string {
+    const keys = this.#components.orders.view.current().malformedKeys ?? [];
+    return keys.length === 0 ? '' : `cannot decode ${keys.join(', ')}; the former state is active`;
+  }
+
   /**
    * Processes a heartbeat of the backend server, which takes effect at once. Resolves when it may be
    * acknowledged: the leaving of a server was sent to peers, which keep it for a later process. Resolves
@@ -217,6 +223,11 @@
         return rows.filter(({ service, state }) => service !== '' && takesNewWork(state)).length;
       }),
       source('orders_revision', 'Revision in force', () => orders.view.current().storeRevision),
+      source(
+        'orders_malformed',
+        'Entries that cannot be decoded',
+        () => orders.view.current().malformedKeys?.length ?? 0,
+      ),
       source('store_era', 'Era of the store, which rises with each restore from a copy', () =>
         orders.storeEra(),
       ),
--- a/packages/orders/src/orders-table.ts
+++ b/packages/orders/src/orders-table.ts
@@ -313,15 +313,17 @@
     const moves = new Map<string, MoveOrder>();
     const moveRecords = new Map<string, MoveRecord>();
     const evacuatedDataCentres = new Set<string>();
+    const malformedKeys: string[] = [];
     let { configuration } = this.#orders;
-    for (const { order } of this.#rows.rows()) {
+    for (const { item, order } of this.#rows.rows()) {
+      if (!order) malformedKeys.push(item.key);
       if (order?.kind === OrderKind.Move) moves.set(order.move.service, order.move);
       else if (order?.kind === OrderKind.MoveRecord) {
         moveRecords.set(order.record.service, order.record);
       } else if (order?.kind === OrderKind.Evacuation) evacuatedDataCentres.add(order.dataCentre);
       else if (order) configuration = this.#newerConfiguration(configuration, order.configuration);
     }
-    const entries = { configuration, moves, moveRecords, evacuatedDataCentres };
+    const entries = { configuration, moves, moveRecords, evacuatedDataCentres, malformedKeys };
     this.#orders = { storeRevision, eraStart, ...entries };
   }
 
--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -40,6 +40,8 @@
   table.replaceAll({ items, storeRevision: 11 });
   assert.equal(table.current().configuration?.version, 7);
   assert.deepEqual([...table.current().evacuatedDataCentres], ['dc']);
+  // Readiness and metrics name it, since the node serves a former state.
+  assert.deepEqual(table.current().malformedKeys, ['op/c']);
 });
 
 test('a delta carries removals', () => {
--- a/packages/types/src/mesh.ts
+++ b/packages/types/src/mesh.ts
@@ -142,6 +142,8 @@
    * written in the era, the others may belong to the copy from which the store was restored.
    */
   readonly eraStart?: number;
+  /** Keys of entries that cannot be decoded; what was known of them before stays active. */
+  readonly malformedKeys?: readonly string[];
   readonly configuration: MeshConfiguration | undefined;
   /** Move orders, by service. */
   readonly moves: ReadonlyMap<string, MoveOrder>;
