--- a/packages/accounts/src/account-directory.ts
+++ b/packages/accounts/src/account-directory.ts
@@ -21,7 +21,7 @@
 export class AccountDirectory {
   readonly #byKeyHash = new Map<string, ClientAccount>();
 
-  /** If two accounts hold the same key, it belongs to the first of them. */
+  /** A key that two accounts hold counts for the first of them. */
   constructor(accounts: readonly ClientAccount[]) {
     for (const account of accounts) {
       for (const keyHash of account.keyHashes) {
--- a/packages/capacity/src/learned-capacity.ts
+++ b/packages/capacity/src/learned-capacity.ts
@@ -25,7 +25,7 @@
 
 /**
  * Learns from its calls how many a backend server takes well at a time, its speed and the usual
- * latency of each route. One instance belongs to one incarnation of a server.
+ * latency of each route. Create one for each incarnation of a server.
  *
  * @example
  * const capacity = new LearnedCapacity();
--- a/packages/duties/src/duties.test.ts
+++ b/packages/duties/src/duties.test.ts
@@ -61,7 +61,7 @@
 });
 
 test('a holder without the store ends before its lease, and the duty returns with the store', async () => {
-  // Guards against a holder that goes on after another may have the duty.
+  // Guards against a holder that continues after another node may have taken the duty.
   const fleet = new DutyFleet(clock, 5);
   const holder = await fleet.runUntilHeld();
   fleet.store.answerDelayMs = 900;
--- a/packages/mesh-node/src/seed-registrar.ts
+++ b/packages/mesh-node/src/seed-registrar.ts
@@ -46,7 +46,7 @@
  *
  * Answers a fleet of hundreds of nodes that starts at once: each reads the record, with reads that may
  * be some seconds old and cost little, but only a few write. A node that peers already know reads and
- * writes next to nothing. After a restore of the store from an older copy, the first seed that lives
+ * writes next to nothing. After a restore of the store from an older copy, the first live seed
  * writes the lost seeds again.
  *
  * @example
--- a/packages/orders/src/era-state.ts
+++ b/packages/orders/src/era-state.ts
@@ -42,7 +42,7 @@
     return this.#formerRevision;
   }
 
-  /** Time since this node or the peers that it heard of first saw the era, in ms. */
+  /** Time in ms since this node, or a peer whose age of the era it received, first saw the era. */
   get ageMs(): number {
     return monotonicNowMs() - this.#firstSeenAtMs;
   }
@@ -52,7 +52,7 @@
     return this.#era > 0 && this.ageMs >= unconfirmedMaxMs;
   }
 
-  /** Whether this node read the store before any peer told it about the former eras. */
+  /** Whether this node read the store before any peer sent it entries of the former eras. */
   get isUninformed(): boolean {
     return this.#era > 0 && this.#formerRevision === 0 && this.#peerAnswers < peerAnswersMax;
   }
--- a/packages/orders/src/first-read-schedule.ts
+++ b/packages/orders/src/first-read-schedule.ts
@@ -12,7 +12,7 @@
 const aloneAfterMs = 3500;
 /**
  * Time after which a node that knows another one trusts the selection of watchers although new members
- * still arrive. In a fleet that starts at once they arrive for a second, and nobody is served before the
+ * still arrive. In a fleet that starts at once they arrive for a second, and no caller is served before the
  * first read.
  */
 const membersSettledMaxMs = 250;
--- a/packages/orders/src/removed-entries.ts
+++ b/packages/orders/src/removed-entries.ts
@@ -8,8 +8,8 @@
  * Remembers which keys were removed last, so that an older copy of the store does not bring them back.
  *
  * @example
- * removed.add('op/evacuate/a', 20);
- * removed.revisionOf('op/evacuate/a'); // 20
+ * removed.add('evacuations/a', 20);
+ * removed.revisionOf('evacuations/a'); // 20
  */
 export class RemovedEntries {
   readonly #revisions = new Map<string, number>();
--- a/packages/usage/src/test-support/usage-fleet.ts
+++ b/packages/usage/src/test-support/usage-fleet.ts
@@ -86,7 +86,7 @@
     loop.start();
   }
 
-  /** Kills the process of a node; its members are told at once. */
+  /** Kills the process of a node; the other members learn it at once. */
   kill(id: string): MemberRow {
     const { row, loop } = this.nodes.get(id)!;
     loop.stop();
--- a/packages/usage/src/usage-counter.ts
+++ b/packages/usage/src/usage-counter.ts
@@ -13,7 +13,7 @@
 
 /**
  * Counts the requests that the backend server beside this node began to run, for each account and window.
- * A request belongs to the window in which it was written, however long it runs.
+ * A request counts in the window in which it was written, however long it runs.
  *
  * @example
  * const undo = counter.record('bozi300');
--- a/packages/usage/src/usage-fixer.ts
+++ b/packages/usage/src/usage-fixer.ts
@@ -56,7 +56,7 @@
     return this.#loadedToken === holding.token;
   }
 
-  /** Fixes the windows that are due. Rejects if a call to the store fails; the next step goes on. */
+  /** Fixes the windows that are due. Rejects if a call to the store fails; the next step continues. */
   async step(holding: DutyHolding): Promise<void> {
     if (monotonicNowMs() < this.#nextAtMs || !holding.isHeldFor(storeTimeoutMs)) return;
     try {
--- a/packages/usage/src/usage-ledger.ts
+++ b/packages/usage/src/usage-ledger.ts
@@ -135,7 +135,7 @@
     return !isSent && nowUnixMs < windowEndUnixMs(window, windowMs) + sendLimitMs;
   }
 
-  /** First window that nobody can have fixed before this node saw the era. */
+  /** First window that no node can have fixed before this node saw the era. */
   #firstSafeWindow({ era, value, eraSeenAtUnixMs }: LoadedRecord, nowUnixMs: number): number {
     if (era === 0 && value === undefined) return 0;
     const seenAtUnixMs = (era > 0 ? eraSeenAtUnixMs : undefined) ?? nowUnixMs;
--- a/packages/usage/src/usage.test.ts
+++ b/packages/usage/src/usage.test.ts
@@ -130,7 +130,7 @@
 });
 
 test('a data centre that is cut off delays reports, but does not stop them', async () => {
-  // Guards against reporting that waits for nodes which nobody can reach.
+  // Guards against reporting that waits for unreachable nodes.
   const fleet = new UsageFleet(clock, [4, 4]);
   await fleet.run(20_000);
   const holder = fleet.holderId()!;
@@ -175,7 +175,7 @@
   assert.deepEqual([...sum!.counts], [['a0', 1]]);
 });
 
-/** Runs with requests that are taken back later, so that counts of fixed windows change. */
+/** Runs with requests that are subtracted later, so that counts of fixed windows change. */
 const runWithLateRefusals = async (fleet: UsageFleet, durationMs: number): Promise<() => void> => {
   const undos: (() => void)[] = [];
   for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 1000) {
@@ -186,7 +186,7 @@
 };
 
 test('the holder sends what it fixed before the store was restored', async () => {
-  // Guards against windows that nobody reports although their content is known.
+  // Guards against windows that are not reported although their content is known.
   const fleet = new UsageFleet(clock, [1]);
   await fleet.run(16_000);
   const restore = fleet.store.copy();
