--- a/packages/calls/src/undici-backend-client.ts
+++ b/packages/calls/src/undici-backend-client.ts
@@ -61,13 +61,13 @@
   readonly completesCancelledNonIdempotent?: boolean;
 }
 
-/** Creates the headers of the request to the backend server, names and values in turn. */
 /**
  * Name for TLS, which is not used here. Without it, `undici` matches the host of each request against
  * the pattern of an IPv6 address, which has to be compiled after each start.
  */
 const unusedServerName = 'backend-server';
 
+/** Creates the headers of the request to the backend server, names and values in turn. */
 const createRequestHeaders = (
   protocol: CallProtocol,
   open: CallOpen,
